--- /dev/null
+++ b/include/pimentospar/random.h
@@ -0,0 +1,42 @@
+#ifndef INCLUDE_PIMENTOSPAR_RANDOM_H_
+#define INCLUDE_PIMENTOSPAR_RANDOM_H_
+
+#include <cstdint>
+#include <random>
+
+namespace pimentospar {
+
+/// Source of randomness, passed to each component through its constructor.
+class RandomSource {
+ public:
+  virtual ~RandomSource() = default;
+  /// Returns 64 uniformly distributed bits.
+  virtual std::uint64_t Next() = 0;
+
+  /// Returns a number in [0, bound); 0 if the bound is 0.
+  std::uint64_t Below(std::uint64_t bound) {
+    return bound == 0 ? 0 : this->Next() % bound;
+  }
+  /// Returns a number in [0, 1).
+  double Unit() { return static_cast<double>(this->Next() >> 11) * 0x1.0p-53; }
+};
+
+/// A generator with a fixed seed, for tests and benches.
+class SeededRandom final : public RandomSource {
+ public:
+  explicit SeededRandom(std::uint64_t seed) : engine(seed) {}
+  std::uint64_t Next() override { return this->engine(); }
+
+ private:
+  std::mt19937_64 engine;
+};
+
+/// Returns a seed from the operating system.
+inline std::uint64_t EntropySeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+}  // namespace pimentospar
+
+#endif  // INCLUDE_PIMENTOSPAR_RANDOM_H_
--- /dev/null
+++ b/include/pimentospar/types.h
@@ -0,0 +1,81 @@
+#ifndef INCLUDE_PIMENTOSPAR_TYPES_H_
+#define INCLUDE_PIMENTOSPAR_TYPES_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace pimentospar {
+
+namespace detail {
+
+/// A string identifier that does not convert to the identifiers of other kinds.
+template <typename Tag>
+struct TextId {
+  std::string value;
+
+  TextId() = default;
+  explicit TextId(std::string_view text) : value(text) {}
+  explicit TextId(std::string text) : value(std::move(text)) {}
+  explicit TextId(const char* text) : value(text) {}
+
+  [[nodiscard]] bool IsEmpty() const { return this->value.empty(); }
+  auto operator<=>(const TextId&) const = default;
+};
+
+/// A number that does not convert to the numbers of other kinds.
+template <typename Tag>
+struct NumberId {
+  std::uint64_t value = 0;
+  auto operator<=>(const NumberId&) const = default;
+};
+
+}  // namespace detail
+
+using AdapterId = detail::TextId<struct AdapterTag>;
+using DataCentreId = detail::TextId<struct DataCentreTag>;
+using HostId = detail::TextId<struct HostTag>;
+using ModelId = detail::TextId<struct ModelTag>;
+using OperationId = detail::TextId<struct OperationTag>;
+using OwnerId = detail::TextId<struct OwnerTag>;
+using RegionId = detail::TextId<struct RegionTag>;
+using ServiceId = detail::TextId<struct ServiceTag>;
+using TargetId = detail::TextId<struct TargetTag>;
+
+/// Identifies one attempt to run a request at one target; never used twice.
+using AttemptId = detail::NumberId<struct AttemptTag>;
+/// Log offset of the accepted change that produced a configuration; higher is
+/// newer.
+using ConfigVersion = detail::NumberId<struct ConfigVersionTag>;
+/// Log offset of the record that made a process the owner of something.
+using FencingToken = detail::NumberId<struct FencingTag>;
+/// Identifies requests with the same owner, model and body.
+using Fingerprint = detail::NumberId<struct FingerprintTag>;
+/// Drawn at random when a process starts, so that it differs from its
+/// predecessor's.
+using InstanceId = detail::NumberId<struct InstanceTag>;
+/// Position of a record in a log stream.
+using LogOffset = detail::NumberId<struct LogOffsetTag>;
+
+using Bytes = std::uint64_t;
+
+}  // namespace pimentospar
+
+template <typename Tag>
+struct std::hash<pimentospar::detail::TextId<Tag>> {
+  std::size_t operator()(const pimentospar::detail::TextId<Tag>& id) const {
+    return std::hash<std::string>{}(id.value);
+  }
+};
+
+template <typename Tag>
+struct std::hash<pimentospar::detail::NumberId<Tag>> {
+  std::size_t operator()(const pimentospar::detail::NumberId<Tag>& id) const {
+    return std::hash<std::uint64_t>{}(id.value);
+  }
+};
+
+#endif  // INCLUDE_PIMENTOSPAR_TYPES_H_
--- /dev/null
+++ b/standin/main.cc
@@ -0,0 +1,5 @@
+#include <cstdlib>
+
+int main() {
+  return EXIT_SUCCESS;
+}
