--- /dev/null
+++ b/src/claims.cc
@@ -0,0 +1,484 @@
+#include "pimentospar/claims.h"
+
+#include <algorithm>
+
+#include "pimentospar/digest.h"
+
+namespace pimentospar {
+
+using detail::ClaimState;
+using detail::KeyState;
+
+ClaimsShard::ClaimsShard(ClaimsOptions options,
+                         const Clock& clock,
+                         RandomSource& random)
+    : options(std::move(options)), clock(clock), random(random) {}
+
+ClaimActions ClaimsShard::Start() {
+  this->want_tail = true;
+  return this->Finish();
+}
+
+ClaimActions ClaimsShard::OnRequest(const ClaimRequest& request) {
+  this->ExpireKeys();
+  const auto found = this->keys.find(request.key);
+  bool wait = false;
+  if (found != this->keys.end()) {
+    const KeyState& state = found->second;
+    if (state.done) {
+      this->AnswerFromOutcome(request.id, request.body,
+                              this->claims.at(*state.done));
+      return this->Finish();
+    }
+    const ClaimId* other = nullptr;
+    if (state.local) {
+      other = &*state.local;
+    } else if (!state.order.empty() &&
+               !this->claims.at(state.order.front()).own) {
+      other = &state.order.front();
+      wait = true;
+    }
+    if (other != nullptr) {
+      ClaimState& claim = this->claims.at(*other);
+      if (claim.body != request.body) {
+        this->Answer(request.id, {Reason::kKeyReused, Executed::kNo});
+        return this->Finish();
+      }
+      if (!wait) {
+        claim.waiters.push_back({request.id, request.deadline});
+        this->actions.emplace_back(AnswerLater{request.id});
+        return this->Finish();
+      }
+    }
+  }
+  const bool expired = request.deadline <= this->clock.Now();
+  if (wait && expired) {
+    this->Answer(request.id, {Reason::kOutcomeUnknown, Executed::kUnknown});
+    return this->Finish();
+  }
+  Reason refusal =
+      expired ? Reason::kDeadlineExceeded : this->RefusalOfNewKey();
+  if (wait) {
+    refusal = this->claims.size() >= this->options.max_claims
+                  ? Reason::kKeyTableFull
+                  : Reason::kNone;
+  }
+  if (refusal != Reason::kNone) {
+    // Another instance may run the operation, so that "no" would be wrong.
+    this->Answer(request.id,
+                 {refusal, wait ? Executed::kUnknown : Executed::kNo});
+    return this->Finish();
+  }
+  this->AddClaim(request, wait);
+  return this->Finish();
+}
+
+ClaimActions ClaimsShard::OnDispatched(ClaimId id, DispatchOutcome outcome) {
+  const auto found = this->claims.find(id);
+  if (found == this->claims.end() ||
+      found->second.phase != Phase::kDispatched) {
+    return this->Finish();
+  }
+  ClaimState& claim = found->second;
+  if (const auto* refused = std::get_if<DispatchRefused>(&outcome)) {
+    claim.phase = Phase::kLanded;
+    this->Abandon(id, {refused->reason, Executed::kNo});
+    return this->Finish();
+  }
+  DoneRecord record{id};
+  if (auto* completed = std::get_if<DispatchCompleted>(&outcome)) {
+    const std::string& body = completed->answer.body;
+    record.status = completed->answer.status;
+    if (body.size() <= this->options.max_stored_answer) {
+      record.answer = body;
+    } else {
+      record.answer_hash = Sha256Hex(body);
+    }
+    // The callers get the answer even if it is over the bound of the memory.
+    this->AnswerAll(claim,
+                    {Reason::kNone, Executed::kYes, completed->answer});
+    this->SetDone(id, record.status, std::move(completed->answer.body));
+  } else {
+    const Reason reason = std::get<DispatchUnknown>(outcome).reason;
+    this->AnswerAll(claim, {reason, Executed::kUnknown});
+    this->SetDone(id, 0, std::nullopt);
+  }
+  this->queue.emplace_back(std::move(record));
+  return this->Finish();
+}
+
+ClaimActions ClaimsShard::OnConfiguration(ConfigVersion version,
+                                          const RegionId& home_region) {
+  if (this->config_version && version < *this->config_version) {
+    return this->Finish();
+  }
+  this->config_version = version;
+  this->config_home = home_region;
+  if (home_region != this->options.region) {
+    this->RefuseQueued(Reason::kHomeMoving);
+  }
+  return this->Finish();
+}
+
+ClaimActions ClaimsShard::OnTime() {
+  this->ExpireKeys();
+  const std::vector<ClaimId> waiting(this->active.begin(), this->active.end());
+  for (const ClaimId& id : waiting) {
+    this->ExpireClaim(id);
+  }
+  return this->Finish();
+}
+
+std::optional<TimePoint> ClaimsShard::NextWake() const {
+  std::optional<TimePoint> wake;
+  const auto add = [&](TimePoint time) {
+    wake = wake ? std::min(*wake, time) : time;
+  };
+  for (const ClaimId& id : this->active) {
+    const ClaimState& claim = this->claims.at(id);
+    for (const detail::ClaimWaiter& waiter : claim.waiters) {
+      add(waiter.deadline);
+    }
+    if (claim.phase == Phase::kWaiting || this->IsBehindOther(id, claim)) {
+      add(this->last_tail_read + this->options.poll_interval);
+    }
+    if (claim.phase < Phase::kDispatched) {
+      add(claim.deadline);
+    }
+    if (claim.phase > Phase::kWaiting && claim.phase < Phase::kLanded) {
+      add(claim.queued_at + this->options.log_patience);
+    }
+  }
+  const bool must_read = this->want_tail || this->next_offset < this->read_target;
+  const bool must_append = !this->queue.empty() && !this->outstanding;
+  if ((must_read && !this->reading) || must_append) {
+    add(this->log_retry_at);
+  }
+  if (this->ServesHome()) {
+    add(this->home_read_at + this->options.home_renewal);
+  }
+  if (!this->key_expiry.empty()) {
+    add(this->key_expiry.front().first);
+  }
+  return wake;
+}
+
+bool ClaimsShard::IsReady() const {
+  return this->RefusalOfNewKey() == Reason::kNone;
+}
+
+bool ClaimsShard::ServesHome() const {
+  return this->home && this->home->region == this->options.region &&
+         this->config_home == this->options.region;
+}
+
+Reason ClaimsShard::RefusalOfNewKey() const {
+  if (!this->caught_up || !this->config_version) {
+    return Reason::kNotReady;
+  }
+  const bool first_home =
+      !this->home && this->config_home == this->options.region;
+  if (first_home) {
+    return Reason::kNotReady;
+  }
+  if (!this->ServesHome() || this->clock.Now() < this->home_free_at) {
+    return Reason::kHomeMoving;
+  }
+  if (this->claims.size() >= this->options.max_claims ||
+      this->clock.Now() < this->incomplete_until) {
+    return Reason::kKeyTableFull;
+  }
+  return Reason::kNone;
+}
+
+void ClaimsShard::AddClaim(const ClaimRequest& request, bool wait) {
+  const auto id = ClaimId::Draw(this->random);
+  ClaimState& claim = this->claims[id];
+  claim.key = request.key;
+  claim.body = request.body;
+  claim.owner = request.owner;
+  claim.own = true;
+  claim.deadline = request.deadline;
+  claim.waiters.push_back({request.id, request.deadline});
+  KeyState& state = this->keys[request.key];
+  state.claims.push_back(id);
+  state.local = id;
+  this->Keep(request.key);
+  this->active.insert(id);
+  this->actions.emplace_back(AnswerLater{request.id});
+  if (!wait) {
+    this->QueueClaim(id, claim);
+  }
+}
+
+void ClaimsShard::QueueClaim(const ClaimId& id, ClaimState& claim) {
+  claim.phase = Phase::kQueued;
+  claim.queued_at = this->clock.Now();
+  this->queue.emplace_back(ClaimRecord{.id = id});
+}
+
+void ClaimsShard::Answer(ClaimRequestId request, ClaimAnswer answer) {
+  this->actions.emplace_back(AnswerRequest{request, std::move(answer)});
+}
+
+void ClaimsShard::AnswerAll(ClaimState& claim, const ClaimAnswer& answer) {
+  for (const detail::ClaimWaiter& waiter : claim.waiters) {
+    this->Answer(waiter.request, answer);
+  }
+  claim.waiters.clear();
+}
+
+void ClaimsShard::AnswerFromOutcome(ClaimRequestId request,
+                                    const BodyHash& body,
+                                    const ClaimState& done) {
+  if (done.body != body) {
+    this->Answer(request, {Reason::kKeyReused, Executed::kNo});
+  } else if (done.status == 0) {
+    this->Answer(request, {Reason::kOutcomeUnknown, Executed::kUnknown});
+  } else if (!done.answer) {
+    this->Answer(request, {Reason::kAnswerExpired, Executed::kUnknown});
+  } else {
+    this->Answer(request, {Reason::kNone, Executed::kYes,
+                           StoredAnswer{done.status, *done.answer}});
+  }
+}
+
+void ClaimsShard::Abandon(const ClaimId& id, const ClaimAnswer& answer) {
+  ClaimState& claim = this->claims.at(id);
+  claim.abandoned = true;
+  this->AnswerAll(claim, answer);
+  this->active.erase(id);
+  KeyState& state = this->keys.at(claim.key);
+  if (state.local == id) {
+    state.local.reset();
+  }
+  const bool unwritten =
+      claim.phase == Phase::kWaiting || claim.phase == Phase::kQueued;
+  if (unwritten && !claim.may_land) {
+    this->Drop(id);
+    return;
+  }
+  this->queue.emplace_back(ReleaseRecord{id});
+}
+
+// Gives up a claim that was not dispatched.
+void ClaimsShard::AbandonUndispatched(const ClaimId& id, Reason reason) {
+  if (this->IsBehindOther(id, this->claims.at(id))) {
+    // The operation may have run by the claim of another instance.
+    this->Abandon(id, {Reason::kOutcomeUnknown, Executed::kUnknown});
+    return;
+  }
+  this->Abandon(id, {reason, Executed::kNo});
+}
+
+// Forgets a claim that is not and never will be in the log.
+void ClaimsShard::Drop(const ClaimId& id) {
+  const KeyHash key = this->claims.at(id).key;
+  this->claims.erase(id);
+  KeyState& state = this->keys.at(key);
+  std::erase(state.claims, id);
+  if (state.claims.empty()) {
+    this->keys.erase(key);
+  }
+}
+
+bool ClaimsShard::IsBehindOther(const ClaimId& id,
+                                const ClaimState& claim) const {
+  for (const ClaimId& other : this->keys.at(claim.key).order) {
+    if (other == id) {
+      return false;
+    }
+    if (!this->claims.at(other).own) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Acts on what is now known about a key: its outcome or its winning claim.
+void ClaimsShard::Evaluate(const KeyHash& key) {
+  bool again = true;
+  while (again) {
+    const auto found = this->keys.find(key);
+    if (found == this->keys.end()) {
+      return;
+    }
+    if (found->second.done) {
+      this->EvaluateDone(found->second);
+      return;
+    }
+    again = this->EvaluateWinner(found->second);
+  }
+}
+
+void ClaimsShard::EvaluateDone(KeyState& state) {
+  if (!state.local || *state.local == *state.done) {
+    return;
+  }
+  const ClaimId id = *state.local;
+  const ClaimState& done = this->claims.at(*state.done);
+  ClaimState& claim = this->claims.at(id);
+  for (const detail::ClaimWaiter& waiter : claim.waiters) {
+    this->AnswerFromOutcome(waiter.request, claim.body, done);
+  }
+  claim.waiters.clear();
+  this->Abandon(id, {});
+}
+
+// Returns true if the key must be evaluated again.
+bool ClaimsShard::EvaluateWinner(KeyState& state) {
+  if (state.order.empty()) {
+    if (!state.local) {
+      return false;
+    }
+    const ClaimId id = *state.local;
+    ClaimState& local = this->claims.at(id);
+    if (local.phase != Phase::kWaiting) {
+      return false;
+    }
+    const Reason refusal = this->RefusalOfNewKey();
+    // The claim holds its place in the table already.
+    if (refusal != Reason::kNone && refusal != Reason::kKeyTableFull) {
+      this->Abandon(id, {refusal, Executed::kNo});
+      return false;
+    }
+    this->QueueClaim(id, local);
+    return false;
+  }
+  const ClaimId id = state.order.front();
+  ClaimState& winner = this->claims.at(id);
+  if (!winner.own) {
+    if (!state.local || this->claims.at(*state.local).body == winner.body) {
+      return false;
+    }
+    const ClaimId local = *state.local;
+    this->Abandon(local, {Reason::kKeyReused, Executed::kNo});
+    return true;
+  }
+  if (winner.abandoned || winner.phase != Phase::kLanded) {
+    return false;
+  }
+  if (this->clock.Now() >= winner.deadline) {
+    this->Abandon(id, {Reason::kDeadlineExceeded, Executed::kNo});
+    return false;
+  }
+  if (!winner.epoch_matches) {
+    this->Abandon(id, {Reason::kLogUnavailable, Executed::kNo});
+    return false;
+  }
+  winner.phase = Phase::kDispatched;
+  // The first request is the claim's own; its deadline is the claim's, so that
+  // it still waits here.
+  this->actions.emplace_back(
+      DispatchClaim{id, winner.waiters.front().request, winner.deadline});
+  return false;
+}
+
+void ClaimsShard::SetDone(const ClaimId& id,
+                          int status,
+                          std::optional<std::string> body) {
+  ClaimState& claim = this->claims.at(id);
+  if (claim.phase == Phase::kDone) {
+    return;
+  }
+  claim.phase = Phase::kDone;
+  claim.status = status;
+  this->active.erase(id);
+  KeyState& state = this->keys.at(claim.key);
+  if (!state.done) {
+    state.done = id;
+  }
+  const KeyHash key = claim.key;
+  this->Keep(key);
+  if (body) {
+    this->KeepAnswer(id, std::move(*body));
+  }
+  this->Evaluate(key);
+}
+
+void ClaimsShard::KeepAnswer(const ClaimId& id, std::string body) {
+  this->answer_memory += body.size();
+  this->claims.at(id).answer = std::move(body);
+  this->answers.push_back(id);
+  while (this->answer_memory > this->options.max_answer_memory) {
+    const auto oldest = this->claims.find(this->answers.front());
+    this->answers.pop_front();
+    if (oldest != this->claims.end() && oldest->second.answer) {
+      this->answer_memory -= oldest->second.answer->size();
+      oldest->second.answer.reset();
+    }
+  }
+}
+
+// Ends what has waited too long for one own claim.
+void ClaimsShard::ExpireClaim(const ClaimId& id) {
+  const auto found = this->claims.find(id);
+  if (found == this->claims.end()) {
+    return;
+  }
+  ClaimState& claim = found->second;
+  const TimePoint now = this->clock.Now();
+  if (claim.phase < Phase::kDispatched && now >= claim.deadline) {
+    this->AbandonUndispatched(id, Reason::kDeadlineExceeded);
+    return;
+  }
+  const bool on_log =
+      claim.phase > Phase::kWaiting && claim.phase < Phase::kLanded;
+  if (on_log && now >= claim.queued_at + this->options.log_patience) {
+    this->AbandonUndispatched(id, Reason::kLogUnavailable);
+    return;
+  }
+  // The claim stays for the others that joined it, so it may still run.
+  std::erase_if(claim.waiters, [&](const detail::ClaimWaiter& waiter) {
+    if (waiter.deadline > now) {
+      return false;
+    }
+    this->Answer(waiter.request,
+                 {Reason::kDeadlineExceeded, Executed::kUnknown});
+    return true;
+  });
+}
+
+void ClaimsShard::Keep(const KeyHash& key) {
+  KeyState& state = this->keys.at(key);
+  state.keep_until = this->clock.Now() + this->options.key_retention;
+  this->key_expiry.emplace_back(state.keep_until, key);
+}
+
+void ClaimsShard::ExpireKeys() {
+  const TimePoint now = this->clock.Now();
+  while (!this->early_releases.empty() &&
+         this->early_releases.front().first <= now) {
+    const auto found = this->claims.find(this->early_releases.front().second);
+    if (found != this->claims.end() && found->second.key == KeyHash{}) {
+      this->claims.erase(found);
+    }
+    this->early_releases.pop_front();
+  }
+  while (!this->key_expiry.empty() && this->key_expiry.front().first <= now) {
+    const KeyHash key = this->key_expiry.front().second;
+    this->key_expiry.pop_front();
+    const auto found = this->keys.find(key);
+    if (found == this->keys.end() || found->second.keep_until > now) {
+      continue;
+    }
+    if (found->second.local && this->active.contains(*found->second.local)) {
+      this->Keep(key);
+      continue;
+    }
+    for (const ClaimId& id : found->second.claims) {
+      const auto claim = this->claims.find(id);
+      if (claim->second.answer) {
+        this->answer_memory -= claim->second.answer->size();
+      }
+      this->claims.erase(claim);
+    }
+    this->keys.erase(found);
+  }
+  while (!this->answers.empty() &&
+         !this->claims.contains(this->answers.front())) {
+    this->answers.pop_front();
+  }
+}
+
+}  // namespace pimentospar
