--- a/src/claims.cc
+++ b/src/claims.cc
@@ -95,8 +95,7 @@
       record.answer_hash = Sha256Hex(body);
     }
     // The callers get the answer even if it is over the bound of the memory.
-    this->AnswerAll(claim,
-                    {Reason::kNone, Executed::kYes, completed->answer});
+    this->AnswerAll(claim, {Reason::kNone, Executed::kYes, completed->answer});
     this->SetDone(id, record.status, std::move(completed->answer.body));
   } else {
     const Reason reason = std::get<DispatchUnknown>(outcome).reason;
@@ -149,7 +148,8 @@
       add(claim.queued_at + this->options.log_patience);
     }
   }
-  const bool must_read = this->want_tail || this->next_offset < this->read_target;
+  const bool must_read =
+      this->want_tail || this->next_offset < this->read_target;
   const bool must_append = !this->queue.empty() && !this->outstanding;
   if ((must_read && !this->reading) || must_append) {
     add(this->log_retry_at);
--- a/src/claims_records.cc
+++ b/src/claims_records.cc
@@ -106,9 +106,8 @@
             {"lifetime_ms", record.lifetime.count()}};
   }
   json::object operator()(const DoneRecord& record) const {
-    json::object object{{"type", "done"},
-                        {"id", ToHex(record.id)},
-                        {"status", record.status}};
+    json::object object{
+        {"type", "done"}, {"id", ToHex(record.id)}, {"status", record.status}};
     if (record.answer) {
       object["answer"] = *record.answer;
     } else {
--- /dev/null
+++ b/test/support/claims_world.h
@@ -0,0 +1,265 @@
+#ifndef TEST_SUPPORT_CLAIMS_WORLD_H_
+#define TEST_SUPPORT_CLAIMS_WORLD_H_
+
+#include <algorithm>
+#include <memory>
+
+#include "fake_log.h"
+#include "pimentospar/claims.h"
+
+namespace pimentospar::test {
+
+constexpr std::string_view kStream = "claims.booking.0";
+using std::chrono::milliseconds;
+
+/// Agents with one shard each over one log, and the history of their answers
+/// and dispatches. Faults found by the history check are in `violation`.
+class ClaimsWorld {
+ public:
+  struct Sending {
+    int key;
+    int body;
+    InstanceId instance;
+    std::vector<ClaimAnswer> answers;
+  };
+  struct Dispatch {
+    int key;
+    int body;
+    InstanceId instance;
+    bool not_run = false;
+  };
+  struct Agent {
+    InstanceId instance;
+    RegionId region;
+    std::unique_ptr<ClaimsShard> shard;
+    std::deque<RecordGroup> appends;
+    std::deque<LogOffset> reads;
+    std::deque<std::pair<DispatchClaim, std::size_t>> running;
+    bool paused = false;
+  };
+
+  explicit ClaimsWorld(std::vector<std::string> regions,
+                       ClaimsOptions options = {})
+      : options(std::move(options)), agents(regions.size()) {
+    for (std::size_t i = 0; i < regions.size(); ++i) {
+      this->agents[i].region = RegionId(regions[i]);
+      this->Restart(i);
+    }
+  }
+
+  void Restart(std::size_t a) {
+    Agent& agent = this->agents[a];
+    const RegionId region = agent.region;
+    agent = Agent{};
+    agent.region = region;
+    agent.instance = InstanceId{++this->last_instance};
+    this->options.instance = agent.instance;
+    this->options.region = region;
+    agent.shard =
+        std::make_unique<ClaimsShard>(this->options, this->clock, this->random);
+    this->Take(a, agent.shard->Start());
+    this->Learn(a);
+  }
+
+  void Learn(std::size_t a) {
+    this->Take(a, this->agents[a].shard->OnConfiguration(this->config,
+                                                         RegionId(this->home)));
+  }
+
+  std::size_t Send(std::size_t a, int key, int body, milliseconds limit) {
+    const ClaimRequestId id{this->sendings.size()};
+    this->sendings.push_back({key, body, this->agents[a].instance});
+    this->Take(a, this->agents[a].shard->OnRequest(
+                      {id,
+                       {0, static_cast<std::uint64_t>(key) + 2},
+                       {0, static_cast<std::uint64_t>(body)},
+                       OwnerId("shop"),
+                       this->clock.Now() + limit}));
+    return id.value;
+  }
+
+  void DoAppend(std::size_t a) {
+    Agent& agent = this->agents[a];
+    if (agent.appends.empty()) {
+      return;
+    }
+    const std::string body = Encode(agent.appends.front());
+    agent.appends.pop_front();
+    const control::AppendResult result = this->log.Append(kStream, body);
+    if (const auto* stored = std::get_if<control::Appended>(&result)) {
+      this->Take(a, agent.shard->OnAppended(stored->offset));
+    } else if (std::holds_alternative<control::AppendUnknown>(result)) {
+      this->Take(a, agent.shard->OnAppendLost());
+    } else {
+      this->Take(a, agent.shard->OnAppendRefused());
+    }
+  }
+
+  void DoRead(std::size_t a) {
+    Agent& agent = this->agents[a];
+    if (agent.reads.empty()) {
+      return;
+    }
+    const auto page = this->log.Read(kStream, agent.reads.front(), 64);
+    agent.reads.pop_front();
+    if (!page) {
+      this->Take(a, agent.shard->OnReadFailed());
+      return;
+    }
+    std::vector<StreamRecord> records;
+    for (const control::LogRecord& record : page->records) {
+      records.push_back({record.offset, record.body});
+    }
+    this->Take(a, agent.shard->OnRead({page->first, page->next, records}));
+  }
+
+  void DoDispatch(std::size_t a, const DispatchOutcome& outcome) {
+    Agent& agent = this->agents[a];
+    if (agent.running.empty()) {
+      return;
+    }
+    const auto [claim, index] = agent.running.front();
+    agent.running.pop_front();
+    this->dispatches[index].not_run =
+        std::holds_alternative<DispatchRefused>(outcome);
+    this->Take(a, agent.shard->OnDispatched(claim.claim, outcome));
+  }
+
+  void Complete(std::size_t a) {
+    if (!this->agents[a].running.empty()) {
+      const std::size_t index = this->agents[a].running.front().second;
+      this->DoDispatch(a, DispatchCompleted{{201, AnswerOf(index)}});
+    }
+  }
+
+  void Advance(milliseconds step) {
+    this->clock.Advance(step);
+    for (std::size_t a = 0; a < this->agents.size(); ++a) {
+      if (!this->agents[a].paused) {
+        this->Take(a, this->agents[a].shard->OnTime());
+      }
+    }
+  }
+
+  /// Carries out everything for a while; dispatches complete.
+  void Run(milliseconds span = milliseconds(300)) {
+    for (milliseconds passed{0}; passed < span; passed += milliseconds(50)) {
+      for (int round = 0; round < 6; ++round) {
+        for (std::size_t a = 0; a < this->agents.size(); ++a) {
+          this->DoAppend(a);
+          this->DoRead(a);
+          this->Complete(a);
+        }
+      }
+      this->Advance(milliseconds(50));
+    }
+  }
+
+  /// Spreads requests over few keys that change slowly, so that repeats meet.
+  [[nodiscard]] int KeyFor(int choice) const {
+    return static_cast<int>(this->sendings.size()) / 12 * 2 + choice;
+  }
+  static std::string AnswerOf(std::size_t dispatch) {
+    return "run " + std::to_string(dispatch);
+  }
+  /// The reason and execution state that a request was told, such as
+  /// `none/yes`; `open` before its answer.
+  [[nodiscard]] std::string Told(std::size_t request) const {
+    const auto& answers = this->sendings[request].answers;
+    return answers.empty() ? "open"
+                           : std::string(CodeOf(answers[0].reason)) + "/" +
+                                 std::string(ToString(answers[0].executed));
+  }
+
+  ManualClock clock;
+  SeededRandom random{7};
+  FakeLog log;
+  ClaimsOptions options;
+  ConfigVersion config{1};
+  std::string home = "north";
+  std::vector<Agent> agents;
+  std::vector<Sending> sendings;
+  std::vector<Dispatch> dispatches;
+  std::string violation;
+
+ private:
+  void Take(std::size_t a, ClaimActions actions) {
+    Agent& agent = this->agents[a];
+    for (ClaimAction& action : actions) {
+      if (auto* append = std::get_if<AppendGroup>(&action)) {
+        agent.appends.push_back(std::move(append->group));
+      } else if (const auto* read = std::get_if<ReadStream>(&action)) {
+        agent.reads.push_back(read->from);
+      } else if (const auto* answer = std::get_if<AnswerRequest>(&action)) {
+        this->Record(answer->request.value, answer->answer);
+      } else if (const auto* dispatch = std::get_if<DispatchClaim>(&action)) {
+        this->Record(agent, *dispatch);
+      }
+    }
+    this->Check(agent.appends.size() <= 1, "several appends outstanding");
+    this->Check(agent.reads.size() <= 1, "several reads outstanding");
+  }
+
+  void Record(Agent& agent, const DispatchClaim& dispatch) {
+    const Sending first = this->sendings[dispatch.request.value];
+    for (const Dispatch& other : this->dispatches) {
+      this->Check(other.key != first.key || other.not_run,
+                  "key dispatched twice");
+    }
+    // Later requests at the instance joined this claim.
+    for (std::size_t i = dispatch.request.value; i < this->sendings.size();
+         ++i) {
+      const Sending& joined = this->sendings[i];
+      const bool same = joined.instance == first.instance &&
+                        joined.key == first.key && joined.body == first.body;
+      this->Check(!same || joined.answers.empty() ||
+                      joined.answers[0].executed != Executed::kNo,
+                  "told not run before its claim was dispatched");
+    }
+    this->Check(dispatch.deadline > this->clock.Now(), "dispatched too late");
+    agent.running.emplace_back(dispatch, this->dispatches.size());
+    this->dispatches.push_back({first.key, first.body, agent.instance});
+  }
+
+  void Record(std::size_t request, const ClaimAnswer& answer) {
+    Sending& sending = this->sendings[request];
+    sending.answers.push_back(answer);
+    this->Check(sending.answers.size() == 1, "answered twice");
+    if (answer.reason == Reason::kKeyReused) {
+      this->Check(std::ranges::any_of(this->sendings,
+                                      [&](const Sending& other) {
+                                        return other.key == sending.key &&
+                                               other.body != sending.body;
+                                      }),
+                  "key_reused without another body");
+      return;
+    }
+    bool answer_found = false;
+    for (std::size_t i = 0; i < this->dispatches.size(); ++i) {
+      const Dispatch& dispatch = this->dispatches[i];
+      if (dispatch.key != sending.key || dispatch.not_run) {
+        continue;
+      }
+      this->Check(answer.executed != Executed::kNo ||
+                      dispatch.instance != sending.instance,
+                  "told not run although its instance dispatched it");
+      answer_found = answer_found ||
+                     (answer.answer && answer.answer->body == AnswerOf(i) &&
+                      dispatch.body == sending.body);
+    }
+    this->Check(answer.executed != Executed::kYes || answer_found,
+                "got the answer of another run or body");
+  }
+
+  void Check(bool holds, std::string_view what) {
+    if (!holds && this->violation.empty()) {
+      this->violation = what;
+    }
+  }
+
+  std::uint64_t last_instance = 0;
+};
+
+}  // namespace pimentospar::test
+
+#endif  // TEST_SUPPORT_CLAIMS_WORLD_H_
