--- a/include/pimentospar/claims_records.h
+++ b/include/pimentospar/claims_records.h
@@ -29,6 +29,7 @@
     const std::uint64_t high = random.Next();
     return {high, random.Next()};
   }
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`
   auto operator<=>(const WideId&) const = default;
 };
 
@@ -54,7 +55,7 @@
   /// Remaining time of the request when the record was written.
   std::chrono::milliseconds lifetime{0};
 
-  auto operator<=>(const ClaimRecord&) const = default;
+  bool operator==(const ClaimRecord&) const = default;
 };
 
 /// Outcome of a claim.
@@ -68,14 +69,14 @@
   /// SHA-256 in hexadecimal of an answer that is over the limit.
   std::string answer_hash;
 
-  auto operator<=>(const DoneRecord&) const = default;
+  bool operator==(const DoneRecord&) const = default;
 };
 
 /// The claim was not executed and never will be.
 struct ReleaseRecord {
   ClaimId id;
 
-  auto operator<=>(const ReleaseRecord&) const = default;
+  bool operator==(const ReleaseRecord&) const = default;
 };
 
 /// Home region of the service from here on.
@@ -83,7 +84,7 @@
   ConfigVersion epoch;
   RegionId region;
 
-  auto operator<=>(const HomeRecord&) const = default;
+  bool operator==(const HomeRecord&) const = default;
 };
 
 using ClaimsRecord =
@@ -94,7 +95,7 @@
   GroupId id;
   std::vector<ClaimsRecord> records;
 
-  auto operator<=>(const RecordGroup&) const = default;
+  bool operator==(const RecordGroup&) const = default;
 };
 
 /// Why the body of a log record is not a `RecordGroup`.
--- a/include/pimentospar/types.h
+++ b/include/pimentospar/types.h
@@ -23,6 +23,7 @@
   explicit TextId(const char* text) : value(text) {}
 
   [[nodiscard]] bool IsEmpty() const { return this->value.empty(); }
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`
   auto operator<=>(const TextId&) const = default;
 };
 
@@ -30,6 +31,7 @@
 template <typename Tag>
 struct NumberId {
   std::uint64_t value = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`
   auto operator<=>(const NumberId&) const = default;
 };
 
