Run non-idempotent operations through claims on the log

Cause: the thin path refused every non-idempotent operation, since nothing guarded its key.

Change: the agent drives a claims shard for each claims stream of its service on the control thread; entries order the agents of the home region alike for each shard and try the next one only after a truthful "not run". An agent that drains waits until every outcome is on the log.

A repeat through the other entry gets the first answer, also with the log down; a new booking with the log down is told executed=no; a lost append answer is settled by reading; the service saw each key once.

--- a/include/pimentospar/claims.h
+++ b/include/pimentospar/claims.h
@@ -207,6 +207,10 @@
   [[nodiscard]] std::optional<TimePoint> NextWake() const;
   /// Whether new keys are accepted.
   [[nodiscard]] bool IsReady() const;
+  /// Whether nothing waits to be written to the log.
+  [[nodiscard]] bool IsSettled() const {
+    return this->queue.empty() && !this->outstanding.has_value();
+  }
   [[nodiscard]] std::size_t ClaimCount() const { return this->claims.size(); }
   /// Records of the stream that could not be decoded.
   [[nodiscard]] std::size_t MalformedCount() const { return this->malformed; }
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -6,10 +6,10 @@
 
 Agent::Agent(Process& process)
     : process(process),
-      engine(
-          process.http,
-          process.clock,
-          ParseAddress(process.settings.target_address).value_or(Address{})) {}
+      engine(process.http,
+             process.clock,
+             ParseAddress(process.settings.target_address).value_or(Address{})),
+      claims(process, this->engine) {}
 
 void Agent::Start() {
   this->server = std::make_unique<AgentServer>(
@@ -18,6 +18,7 @@
       *this);
   LogInfo("listening", {{"purpose", "rpc"},
                         {"address", ToString(this->server->LocalAddress())}});
+  this->claims.Start();
   this->process.Repeat(this->process.settings.state_interval, [this] {
     auto read = this->engine.ReadState();
     const std::lock_guard lock(this->mutex);
@@ -29,6 +30,9 @@
   if (this->process.config.Get() == nullptr) {
     return "configuration";
   }
+  if (!this->claims.IsReady()) {
+    return "claims streams";
+  }
   const std::lock_guard lock(this->mutex);
   return this->state ? "" : "state of the target";
 }
@@ -117,16 +121,13 @@
                                  {.reason = Reason::kTargetLeaving}));
     return;
   }
+  const TimePoint deadline = this->process.clock.Now() + invocation.remaining;
   if (!invocation.idempotency_key.empty()) {
-    // Nothing guards the key yet, so that running the operation could run it
-    // twice.
-    reply.Finish(this->ToOutcome(
-        invocation.attempt,
-        {.reason = Reason::kNotReady, .detail = "keys are not guarded"}));
+    reply.Finish(this->ToOutcome(invocation.attempt,
+                                 this->claims.Run(invocation, deadline)));
     return;
   }
   this->process.metrics.Count(Event::kOperationDispatched);
-  const TimePoint deadline = this->process.clock.Now() + invocation.remaining;
   reply.Finish(this->ToOutcome(invocation.attempt,
                                this->engine.Invoke(invocation, deadline)));
 }
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 
+#include "agent/claims_guard.h"
 #include "agent/engine.h"
 #include "daemon/process.h"
 #include "rpc/agent_server.h"
@@ -22,8 +23,9 @@
   void Start();
   /// What is missing before the process is ready; empty if nothing.
   [[nodiscard]] std::string Missing() const;
+  /// Attempts in progress, and one more while an outcome is not on the log yet.
   [[nodiscard]] std::size_t InFlight() const {
-    return this->process.worker.Running();
+    return this->process.worker.Running() + (this->claims.IsSettled() ? 0 : 1);
   }
   /// Writes a log line for each attempt that is still in flight.
   void LogCutOff() const;
@@ -44,6 +46,7 @@
 
   Process& process;
   Engine engine;
+  ClaimsGuard claims;
   std::unique_ptr<AgentServer> server;
   mutable std::mutex mutex;
   std::optional<EngineState> state;
--- /dev/null
+++ b/src/agent/claims_guard.h
@@ -0,0 +1,81 @@
+#ifndef SRC_AGENT_CLAIMS_GUARD_H_
+#define SRC_AGENT_CLAIMS_GUARD_H_
+
+#include <boost/fiber/future.hpp>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "agent/engine.h"
+#include "daemon/process.h"
+#include "pimentospar/claims.h"
+
+namespace pimentospar {
+
+/// Has each non-idempotent operation of a service run at most once: drives the
+/// claims shards with the log and the target. All shards live on the control
+/// thread.
+class ClaimsGuard {
+ public:
+  ClaimsGuard(Process& process, Engine& engine);
+  ClaimsGuard(const ClaimsGuard&) = delete;
+  ClaimsGuard& operator=(const ClaimsGuard&) = delete;
+
+  /// Follows the claims streams of the service that the target runs, if it runs
+  /// one.
+  void Start();
+
+  /// Runs the operation unless its key has run; suspends the calling fiber of
+  /// another thread.
+  [[nodiscard]] EngineResult Run(const Invocation& invocation,
+                                 TimePoint deadline);
+
+  /// Whether all shards have read their stream to the tail.
+  [[nodiscard]] bool IsReady() const { return this->ready.load(); }
+  /// Whether every outcome is on the log.
+  [[nodiscard]] bool IsSettled() const { return this->settled.load(); }
+
+ private:
+  struct Pending {
+    Invocation invocation;
+    std::shared_ptr<boost::fibers::promise<EngineResult>> answer;
+  };
+  struct Shard {
+    Shard(std::string stream,
+          ClaimsOptions options,
+          const Clock& clock,
+          RandomSource& random)
+        : stream(std::move(stream)),
+          claims(std::move(options), clock, random) {}
+
+    std::string stream;
+    ClaimsShard claims;
+    std::unordered_map<ClaimRequestId, Pending> pending;
+  };
+
+  void Tick();
+  void AddShards(const ActiveConfig& active, const ServiceConfig& service);
+  void Request(std::uint32_t index, Pending pending, TimePoint deadline);
+  void Carry(Shard& shard, ClaimActions actions);
+  void Do(Shard& shard, AppendGroup action);
+  void Do(Shard& shard, const ReadStream& action);
+  void Do(Shard& shard, const DispatchClaim& action);
+  void Do(Shard& shard, const AnswerRequest& action);
+  void Do(Shard& shard, const AnswerLater& action);
+  /// Runs a step that waits for the network in a fiber of its own.
+  void Spawn(std::function<void()> step);
+
+  Process& process;
+  Engine& engine;
+  std::map<std::uint32_t, std::unique_ptr<Shard>> shards;
+  ServiceId service;
+  ConfigVersion seen_version;
+  std::uint64_t next_request = 1;
+  std::atomic<std::uint32_t> shard_count = 0;
+  std::atomic<bool> ready = false;
+  std::atomic<bool> settled = true;
+};
+
+}  // namespace pimentospar
+
+#endif  // SRC_AGENT_CLAIMS_GUARD_H_
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t kRingSize = 4096;
-constexpr std::size_t kControlTasks = 256;
+constexpr std::size_t kControlTasks = 4096;
 
 Address AddressOf(const std::string& text) {
   return ParseAddress(text).value_or(Address{});
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "net/log_line.h"
+#include "pimentospar/digest.h"
 
 namespace pimentospar {
 
@@ -17,6 +18,24 @@
 
 constexpr unsigned kMaxAttempts = 3;
 
+// Whether another agent may do better; a full key table or a missing log is the
+// same everywhere.
+bool IsWorthRetrying(Reason reason) {
+  switch (reason) {
+    case Reason::kTargetLeaving:
+    case Reason::kTargetUnreachable:
+    case Reason::kTargetRefused:
+    case Reason::kTargetCrashed:
+    case Reason::kTargetError:
+    case Reason::kRingFull:
+    case Reason::kNotReady:
+    case Reason::kOverloaded:
+      return true;
+    default:
+      return false;
+  }
+}
+
 std::chrono::milliseconds Remaining(TimePoint now, TimePoint deadline) {
   return std::max(
       std::chrono::milliseconds(0),
@@ -300,16 +319,59 @@
   }
 }
 
-void Entry::ServeService(RequestContext& context) {
+std::vector<KnownAgent> Entry::ServiceCandidates(
+    const RequestContext& context) const {
   const auto& call = std::get<ServiceRequest>(context.request);
   std::vector<KnownAgent> candidates = this->Candidates(context);
-  if (candidates.empty()) {
-    this->Refuse(context,
-                 {.reason = Reason::kNoTarget, .detail = "no agent is known"});
-    return;
+  const ServiceConfig* service =
+      FindService(context.config->configuration, call.service);
+  std::uint64_t seed = context.fingerprint.value;
+  if (!call.idempotent && service != nullptr) {
+    std::erase_if(candidates, [&](const KnownAgent& agent) {
+      return agent.region != service->home_region;
+    });
+    seed = Hash64(call.key) % service->shards;
   }
-  const KnownAgent& agent =
-      candidates[context.fingerprint.value % candidates.size()];
+  // The same order at every entry, so that repeats of a key meet at one agent.
+  std::ranges::sort(candidates, {}, [seed](const KnownAgent& agent) {
+    return Hash64(agent.target.value, seed);
+  });
+  return candidates;
+}
+
+void Entry::ServeService(RequestContext& context) {
+  const auto& call = std::get<ServiceRequest>(context.request);
+  Problem problem{.reason = Reason::kNoTarget, .detail = "no agent is known"};
+  for (const KnownAgent& agent : this->ServiceCandidates(context)) {
+    const Outcome outcome = this->RunInvocation(context, agent);
+    if (outcome.reason == Reason::kNone) {
+      this->process.metrics.Count(Event::kRequestCompleted);
+      context.exchange->Respond(
+          {.status = outcome.status, .body = outcome.body});
+      return;
+    }
+    problem = {.reason = outcome.reason,
+               .executed = outcome.executed,
+               .detail = outcome.detail,
+               .attempts = problem.attempts + 1,
+               .retry_after = outcome.retry_after};
+    if (outcome.reason == Reason::kTargetLeaving) {
+      this->directory.MarkLeaving(agent.target, agent.address);
+    }
+    const bool may_repeat =
+        outcome.executed == Executed::kNo || call.idempotent;
+    if (!may_repeat || !IsWorthRetrying(outcome.reason) ||
+        problem.attempts >= kMaxAttempts) {
+      break;
+    }
+    this->process.metrics.CountRetry(outcome.reason);
+  }
+  this->Refuse(context, problem);
+}
+
+Outcome Entry::RunInvocation(const RequestContext& context,
+                             const KnownAgent& agent) {
+  const auto& call = std::get<ServiceRequest>(context.request);
   Invocation invocation;
   invocation.attempt = this->process.NextAttempt();
   invocation.owner = context.owner;
@@ -323,23 +385,15 @@
   this->process.metrics.Count(Event::kAttemptStarted);
   const auto stream =
       this->process.agents.Invoke(agent.address, std::move(invocation));
-  const AttemptEvent event = stream->Next(context.deadline);
-  const auto* outcome = std::get_if<Outcome>(&event);
-  if (outcome == nullptr) {
-    this->Refuse(context, {.reason = Reason::kCrossedAnswer,
-                           .executed = Executed::kUnknown});
-    return;
-  }
-  if (outcome->reason != Reason::kNone) {
-    this->Refuse(context, {.reason = outcome->reason,
-                           .executed = outcome->executed,
-                           .detail = outcome->detail,
-                           .attempts = 1,
-                           .retry_after = outcome->retry_after});
-    return;
+  AttemptEvent event = stream->Next(context.deadline);
+  if (auto* outcome = std::get_if<Outcome>(&event);
+      outcome != nullptr && outcome->attempt == stream->Id()) {
+    return std::move(*outcome);
   }
-  this->process.metrics.Count(Event::kRequestCompleted);
-  context.exchange->Respond({.status = outcome->status, .body = outcome->body});
+  Outcome crossed;
+  crossed.reason = Reason::kCrossedAnswer;
+  crossed.executed = Executed::kUnknown;
+  return crossed;
 }
 
 }  // namespace pimentospar
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -37,6 +37,10 @@
   void ListModels(const RequestContext& context);
   void ServeChat(RequestContext& context);
   void ServeService(RequestContext& context);
+  [[nodiscard]] std::vector<KnownAgent> ServiceCandidates(
+      const RequestContext& context) const;
+  [[nodiscard]] Outcome RunInvocation(const RequestContext& context,
+                                      const KnownAgent& agent);
   [[nodiscard]] Outcome RunAttempt(const RequestContext& context,
                                    const KnownAgent& agent,
                                    ChatAnswerWriter& writer,
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -122,8 +122,25 @@
 find=$(call "$entry1" /v1/services/booking/find "$booking")
 check "an operation that may be repeated is answered" grep -q '"operation":"find"' <<<"$find"
 first=$(call "$entry1" /v1/services/booking/create "$booking" -H 'Idempotency-Key: visit-1')
-check "a booking is refused as not run while nothing guards its key" \
-  grep -q '"executed":"no"' <<<"$first"
+again=$(call "$entry2" /v1/services/booking/create "$booking" -H 'Idempotency-Key: visit-1')
+other=$(call "$entry2" /v1/services/booking/create '{"grave":"K-18"}' -H 'Idempotency-Key: visit-1')
+say "      booking: $first"
+check "a booking is answered" grep -q '"number":' <<<"$first"
+check "its repeat through the other entry gets the same answer" [ "$first" = "$again" ]
+check "the same key with another body is refused" grep -q '"reason":"key_reused"' <<<"$other"
+runs() { for i in 1 2; do curl -fsS "http://$(address_of "booking$i" standin)/runs"; done; }
+check "the booking ran once in all" [ "$(runs | grep -o '"visit-1":1' | wc -l)" = 1 ]
+log_fault() { curl -fsS --data "$1" "http://$log/faults" >/dev/null; }
+log_fault '{"down":1}'
+refused=$(call "$entry1" /v1/services/booking/create "$booking" -H 'Idempotency-Key: visit-2')
+check "with the log down a new booking is refused as not run" \
+  grep -q '"executed":"no"' <<<"$refused"
+check "with the log down a repeat still gets its answer" \
+  [ "$first" = "$(call "$entry1" /v1/services/booking/create "$booking" -H 'Idempotency-Key: visit-1')" ]
+log_fault '{"down":0,"lose_answer":1}'
+lost=$(call "$entry1" /v1/services/booking/create "$booking" -H 'Idempotency-Key: visit-3')
+check "a booking whose claim's answer is lost is settled by reading" grep -q '"number":' <<<"$lost"
+check "no key ran twice" [ "$(runs | grep -c ':[2-9]')" = 0 ]
 
 long='{"model":"moss","max_tokens":200,"stream":true,"messages":[{"role":"user","content":"a plan"}]}'
 call "$entry1" /v1/chat/completions "$long" -N >"$work/long.out" &
