--- /dev/null
+++ b/test/adapter/http_server_test.cc
@@ -0,0 +1,128 @@
+#define BOOST_TEST_MODULE http_server
+#include "net/http_server.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+#include "net/fiber_thread.h"
+
+namespace pimentospar {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+// A server with small limits whose handler answers `ok`, or streams until the
+// caller is gone.
+class Fixture {
+ public:
+  Fixture()
+      : worker(64, 64),
+        server(this->io,
+               Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
+               HttpLimits{.header_bytes = 1024,
+                          .body_bytes = 2048,
+                          .connections = 4,
+                          .idle_time = std::chrono::seconds(20),
+                          .stall_time = std::chrono::milliseconds(300)},
+               this->metrics,
+               [this](const std::shared_ptr<HttpExchange>& exchange) {
+                 return this->take && this->worker.TryRun([this, exchange] {
+                   this->Handle(*exchange);
+                 });
+               }) {}
+
+  // Sends text on a new connection and reads until the server closes it.
+  std::string Send(std::string_view text) {
+    Tcp::socket socket(this->client);
+    socket.connect(this->server.LocalEndpoint());
+    asio::write(socket, asio::buffer(text));
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+  [[nodiscard]] bool Counted(std::string_view reason) const {
+    const std::string line = "pimentospar_refusals_total{reason=\"" +
+                             std::string(reason) + "\"} 1\n";
+    return this->metrics.Render().find(line) != std::string::npos;
+  }
+
+  std::atomic<bool> take = true;
+  std::promise<void> gone;
+  asio::io_context client;
+
+ private:
+  void Handle(HttpExchange& exchange) {
+    if (exchange.Request().path != "/stream") {
+      exchange.Respond({.body = "ok"});
+      return;
+    }
+    exchange.OnGone([this] { this->gone.set_value(); });
+    exchange.StartStream({});
+    while (exchange.Write(std::string(10'000, 'x'))) {
+    }
+  }
+
+  Metrics metrics;
+  IoThread io;
+  FiberThread worker;
+
+ public:
+  HttpServer server;
+};
+
+// Guards against answers without a reason to input that cannot be read.
+BOOST_FIXTURE_TEST_CASE(RefusesUnreadableInputWithItsReason, Fixture) {
+  BOOST_TEST(this->Send("nonsense\r\n\r\n").find("\"malformed_http\"") !=
+             std::string::npos);
+  BOOST_TEST(this->Counted("malformed_http"));
+  const std::string header(2000, 'h');
+  BOOST_TEST(this->Send("GET / HTTP/1.1\r\nX: " + header + "\r\n\r\n")
+                 .find("\"header_too_large\"") != std::string::npos);
+  BOOST_TEST(this->Counted("header_too_large"));
+  BOOST_TEST(this->Send("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n")
+                 .find("\"body_too_large\"") != std::string::npos);
+  BOOST_TEST(this->Counted("body_too_large"));
+}
+
+// Guards against a sender that stops in the middle and holds its connection for
+// ever.
+BOOST_FIXTURE_TEST_CASE(ClosesTheConnectionOfAStalledSender, Fixture) {
+  BOOST_TEST(
+      this->Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc").empty());
+  BOOST_TEST(this->Counted("sender_stalled"));
+}
+
+// Guards against a full ring that blocks or drops a request without an answer.
+BOOST_FIXTURE_TEST_CASE(AnswersWhenTheRingIsFull, Fixture) {
+  this->take = false;
+  const std::string answer =
+      this->Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  BOOST_TEST(answer.find("503") != std::string::npos);
+  BOOST_TEST(answer.find("\"executed\":\"no\"") != std::string::npos);
+  BOOST_TEST(this->Counted("ring_full"));
+}
+
+// Guards against work that goes on for a caller who has disappeared in
+// mid-stream, and against a slow reader whose answer piles up in memory:
+// without a reader, Write suspends its fiber.
+BOOST_FIXTURE_TEST_CASE(NoticesACallerThatGoesInMidStream, Fixture) {
+  {
+    Tcp::socket socket(this->client);
+    socket.connect(this->server.LocalEndpoint());
+    asio::write(socket,
+                asio::buffer(std::string_view("GET /stream HTTP/1.1\r\n\r\n")));
+    std::array<char, 1000> part{};
+    BOOST_TEST(asio::read(socket, asio::buffer(part)) == part.size());
+  }
+  BOOST_TEST((this->gone.get_future().wait_for(std::chrono::seconds(30)) ==
+              std::future_status::ready));
+}
+
+}  // namespace
+}  // namespace pimentospar
