Lower the default key table to 100,000 entries

Cause: a full table of 200,000 claims took 108 MiB in a trial of the claims work, too much beside the rest of a process that has 128 MB.

Measured: nothing new; the figure is that of the trial.

Conclusion: about half the memory; 24 hours of keys at one a second still fit.

--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -122,7 +122,7 @@
             NumberSetting{&Settings::requests, 2'048, 1, 100'000},
             "Requests that the process handles at once"},
     Setting{"limits.key_table_size", Need::kOptional,
-            NumberSetting{&Settings::key_table_size, 200'000, 1, 100'000'000},
+            NumberSetting{&Settings::key_table_size, 100'000, 1, 100'000'000},
             "Idempotency keys that an agent remembers"},
     Setting{"limits.engine_requests", Need::kOptional,
             NumberSetting{&Settings::engine_requests, 32, 1, 10'000},
