--- /dev/null
+++ b/test/quarantine_test.cc
@@ -0,0 +1,178 @@
+#define BOOST_TEST_MODULE quarantine
+#include "pimentospar/quarantine.h"
+
+#include <rapidcheck.h>
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace pimentospar {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Fingerprint kBad{1};
+
+template <typename Verdict>
+bool Is(const QuarantineVerdict& verdict) {
+  return std::holds_alternative<Verdict>(verdict);
+}
+
+// Guards against a repeated request that escapes by other white space or key
+// order, and against requests of different owners that share strikes.
+BOOST_AUTO_TEST_CASE(FingerprintFollowsTheMeaning) {
+  const OwnerId owner("o");
+  const auto of = [&](std::string_view body) {
+    return FingerprintOf(owner, ModelId("m"), body);
+  };
+  BOOST_TEST((of(R"({"a":[1,{"b":2,"c":"x"}],"d":null})") ==
+              of(R"({ "d":null, "a":[1,{"c":"x","b":2}] })")));
+  BOOST_TEST((of(R"({"a":1})") != of(R"({"a":2})")));
+  BOOST_TEST((of(R"({"a":[1,2]})") != of(R"({"a":[2,1]})")));
+  BOOST_TEST((of("not json") != of("not json ")));
+  BOOST_TEST((of("{}") != FingerprintOf(OwnerId("p"), ModelId("m"), "{}")));
+  BOOST_TEST((FingerprintOf(OwnerId("ab"), ModelId("c"), "") !=
+              FingerprintOf(OwnerId("a"), ModelId("bc"), "")));
+}
+
+// Guards against a refusal that ends while the request keeps coming, and
+// against one that never ends.
+BOOST_AUTO_TEST_CASE(RefusesForAnHourAfterLastSeen) {
+  ManualClock clock;
+  Quarantine quarantine(clock);
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    quarantine.OnCrash(CrashId{crash}, std::vector{kBad});
+    quarantine.OnCrash(CrashId{crash}, std::vector{kBad});
+    BOOST_TEST(quarantine.Strikes(kBad) == crash);
+  }
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(Is<RefuseQuarantined>(quarantine.OnRequest(kBad)));
+    clock.Advance(59min);
+  }
+  clock.Advance(1min);
+  BOOST_TEST(Is<RunFreely>(quarantine.OnRequest(kBad)));
+}
+
+// Guards against memory that grows with the number of crashed requests.
+BOOST_AUTO_TEST_CASE(RemovesTheOldestEntryFirst) {
+  ManualClock clock;
+  Quarantine quarantine(clock, {.max_entries = 2});
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    quarantine.OnCrash(CrashId{i}, std::vector{Fingerprint{i}});
+    clock.Advance(1s);
+  }
+  BOOST_TEST(quarantine.Size() == 2U);
+  BOOST_TEST(!quarantine.HasStrike(Fingerprint{1}));
+  const auto reports = quarantine.Export(1);
+  BOOST_REQUIRE(reports.size() == 1U);
+  BOOST_TEST((reports[0].fingerprint == Fingerprint{3}));
+}
+
+// Guards against strikes that differ between processes or come back after the
+// request completed, whatever the order and repetition of the gossip.
+RC_BOOST_PROP(GossipConverges, ()) {
+  ManualClock clock;
+  std::vector<Quarantine> peers(3, Quarantine(clock));
+  std::array<bool, 3> struck{};
+  const auto exchange = [&](std::size_t from, std::size_t to) {
+    peers[to].Import(peers[from].Export(100));
+  };
+  for (const int step :
+       *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12))) {
+    clock.Advance(10ms);
+    const auto peer = static_cast<std::size_t>(step % 3);
+    if (step < 3) {
+      peers[peer].OnCrash(CrashId{peer}, std::vector{kBad});
+      struck[peer] = true;
+    } else if (step < 6) {
+      exchange(peer, (peer + 1) % 3);
+    } else if (step < 9) {
+      exchange(peer, (peer + 2) % 3);
+    } else {
+      peers[peer].OnCompleted(kBad);
+      RC_ASSERT(!peers[peer].HasStrike(kBad));
+    }
+  }
+  for (std::size_t i = 0; i < 4; ++i) {
+    exchange(i % 3, (i + 1) % 3);
+  }
+  exchange(1, 0);
+  for (const auto& peer : peers) {
+    RC_ASSERT(peer.Strikes(kBad) == peers[0].Strikes(kBad));
+    RC_ASSERT(peer.Strikes(kBad) <=
+              static_cast<std::size_t>(std::ranges::count(struck, true)));
+  }
+}
+
+// Guards against two suspects on one target, which could then not be told
+// apart, also if the strike arrives after the start.
+BOOST_AUTO_TEST_CASE(RunsOneSuspectAtATime) {
+  ManualClock clock;
+  Quarantine quarantine(clock);
+  CrashGuard guard(quarantine);
+  BOOST_TEST(guard.TryStart(AttemptId{1}, kBad, false));
+  BOOST_TEST(guard.TryStart(AttemptId{2}, Fingerprint{2}, true));
+  BOOST_TEST(guard.TryStart(AttemptId{3}, Fingerprint{3}, false));
+  BOOST_TEST(!guard.TryStart(AttemptId{4}, Fingerprint{4}, true));
+  guard.OnEnd(AttemptId{2});
+  quarantine.OnCrash(CrashId{9}, std::vector{kBad});
+  BOOST_TEST(!guard.TryStart(AttemptId{5}, Fingerprint{5}, true));
+  BOOST_TEST(guard.OnCrash(CrashId{10}).size() == 2U);
+  BOOST_TEST(quarantine.Strikes(kBad) == 2U);
+  BOOST_TEST(guard.TryStart(AttemptId{6}, Fingerprint{3}, false));
+}
+
+// Number of targets that crash when one request is sent every second through
+// all entries, each of which retries at once; strikes spread after 1 s.
+std::size_t TargetsLost(std::size_t entry_count, Duration spread_delay) {
+  constexpr auto kStep = 25ms;
+  constexpr int kStepsPerSecond = 40;
+  ManualClock clock;
+  QuarantineOptions options;
+  options.spread_delay = spread_delay;
+  std::vector<Quarantine> entries(entry_count, Quarantine(clock, options));
+  std::vector<std::vector<StrikeReport>> on_the_way;
+  std::vector<int> tries_left(entry_count);
+  std::size_t lost = 0;
+  for (int step = 0; step < 120 * kStepsPerSecond; ++step) {
+    on_the_way.emplace_back();
+    for (std::size_t i = 0; i < entry_count; ++i) {
+      tries_left[i] = step % kStepsPerSecond == 0 ? 3 : tries_left[i];
+      const auto verdict = entries[i].OnRequest(kBad);
+      const auto* alone = std::get_if<RunAlone>(&verdict);
+      if (tries_left[i] == 0 || Is<RefuseQuarantined>(verdict) ||
+          (alone != nullptr && alone->hold > 0s)) {
+        continue;
+      }
+      --tries_left[i];
+      ++lost;
+      entries[i].OnCrash(CrashId{lost}, std::vector{kBad});
+      on_the_way.back().push_back({kBad, CrashId{lost}, false, 1s, 1s});
+    }
+    if (step >= kStepsPerSecond) {
+      for (auto& entry : entries) {
+        entry.Import(
+            on_the_way[static_cast<std::size_t>(step) - kStepsPerSecond]);
+      }
+    }
+    clock.Advance(kStep);
+  }
+  return lost;
+}
+
+// Guards against a request that costs more and more targets: the cost is bound
+// by the entries that see it before the first strikes spread, over 2 minutes.
+BOOST_AUTO_TEST_CASE(OneRequestCostsFewTargets) {
+  BOOST_TEST(TargetsLost(1, 1500ms) == 3U);
+  for (const std::size_t entries : {2U, 5U, 20U}) {
+    BOOST_TEST_MESSAGE("entries=" << entries << " targets_lost="
+                                  << TargetsLost(entries, 1500ms)
+                                  << " targets_lost_without_hold="
+                                  << TargetsLost(entries, 0s));
+    BOOST_TEST(TargetsLost(entries, 1500ms) == 2 * entries);
+    BOOST_TEST(TargetsLost(entries, 0s) == 3 * entries);
+  }
+}
+
+}  // namespace
+}  // namespace pimentospar
