--- /dev/null
+++ b/include/pimentospar/prefix_belief.h
@@ -0,0 +1,82 @@
+#ifndef INCLUDE_PIMENTOSPAR_PREFIX_BELIEF_H_
+#define INCLUDE_PIMENTOSPAR_PREFIX_BELIEF_H_
+
+#include <chrono>
+#include <cstdint>
+#include <list>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "pimentospar/clock.h"
+#include "pimentospar/types.h"
+
+namespace pimentospar {
+
+/// A prompt prefix: the hash of the first `tokens` tokens. A prompt gives a
+/// list of them, shortest first.
+struct PrefixBlock {
+  std::uint64_t hash = 0;
+  std::uint32_t tokens = 0;
+};
+
+struct CacheEvent {
+  bool stored = true;
+  ModelId model;
+  std::uint64_t prefix_hash = 0;
+};
+
+/// Consecutive events of an engine, the first of them at `offset`.
+struct CacheEvents {
+  std::uint64_t offset = 0;
+  std::vector<CacheEvent> events;
+};
+
+struct PrefixBeliefOptions {
+  std::size_t max_prefixes = 1024;
+  /// A belief that was not confirmed for so long counts half.
+  Duration half_life = std::chrono::seconds(60);
+  /// Share of the saving that is expected of a belief just confirmed.
+  double confidence = 0.8;
+};
+
+/// The prefixes that one target is believed to have in its cache. Events come
+/// late and with gaps, so that a belief is only worth a part of its saving.
+class PrefixBelief {
+ public:
+  explicit PrefixBelief(const PrefixBeliefOptions& options)
+      : options(options) {}
+
+  void OnEvents(const CacheEvents& events, TimePoint now);
+  /// The target found `cached_tokens` of the prefix and has all of it since.
+  void OnUse(const ModelId& model,
+             std::span<const PrefixBlock> prefix,
+             std::uint32_t cached_tokens,
+             TimePoint now);
+  /// Returns the number of tokens that the target is expected not to compute.
+  [[nodiscard]] double ExpectedTokens(const ModelId& model,
+                                      std::span<const PrefixBlock> prefix,
+                                      TimePoint now) const;
+
+ private:
+  struct Belief {
+    std::uint64_t key = 0;
+    TimePoint confirmed;
+    /// Falls with each gap in the events, which may hide an eviction.
+    double confidence = 0;
+  };
+
+  void Confirm(std::uint64_t key, TimePoint now);
+  void Forget(std::uint64_t key);
+
+  PrefixBeliefOptions options;
+  /// Most recently confirmed first.
+  std::list<Belief> beliefs;
+  std::unordered_map<std::uint64_t, std::list<Belief>::iterator> index;
+  std::uint64_t next_event = 0;
+  bool seen_events = false;
+};
+
+}  // namespace pimentospar
+
+#endif  // INCLUDE_PIMENTOSPAR_PREFIX_BELIEF_H_
--- /dev/null
+++ b/include/pimentospar/target_health.h
@@ -0,0 +1,58 @@
+#ifndef INCLUDE_PIMENTOSPAR_TARGET_HEALTH_H_
+#define INCLUDE_PIMENTOSPAR_TARGET_HEALTH_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "pimentospar/clock.h"
+#include "pimentospar/random.h"
+
+namespace pimentospar {
+
+struct HealthOptions {
+  double error_factor = 0.5;
+  double slow_factor = 0.8;
+  /// Part of the missing health that a good answer restores.
+  double recovery = 0.1;
+  /// Health below which a target is excluded.
+  double exclusion = 0.2;
+  /// Health after the first good trial.
+  double after_trial = 0.25;
+  Duration first_trial = std::chrono::seconds(1);
+  Duration max_trial_interval = std::chrono::seconds(30);
+  /// Another trial may follow one that has not ended after this time.
+  Duration trial_timeout = std::chrono::seconds(30);
+};
+
+/// The health of one target as one entry sees it: 1 is good, and below the
+/// exclusion limit only trial requests go to the target, one at a time.
+class TargetHealth {
+ public:
+  explicit TargetHealth(const HealthOptions& options) : options(options) {}
+
+  [[nodiscard]] double Weight() const { return this->weight; }
+  [[nodiscard]] bool IsPoor() const {
+    return this->weight < this->options.exclusion;
+  }
+  [[nodiscard]] bool IsTrialDue(TimePoint now) const;
+
+  void OnTrialSent(TimePoint now);
+  void OnGood(bool trial);
+  void OnSlow(TimePoint now, RandomSource& random);
+  void OnFailed(TimePoint now, RandomSource& random);
+  /// The trial ended without saying anything about the target.
+  void OnTrialVoid() { this->trial_running = false; }
+
+ private:
+  void Reduce(double factor, TimePoint now, RandomSource& random);
+
+  HealthOptions options;
+  double weight = 1.0;
+  Duration interval{0};
+  TimePoint next_trial;
+  bool trial_running = false;
+};
+
+}  // namespace pimentospar
+
+#endif  // INCLUDE_PIMENTOSPAR_TARGET_HEALTH_H_
--- /dev/null
+++ b/src/prefix_belief.cc
@@ -0,0 +1,96 @@
+#include "pimentospar/prefix_belief.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "pimentospar/digest.h"
+
+namespace pimentospar {
+
+namespace {
+
+std::uint64_t KeyOf(const ModelId& model, std::uint64_t prefix_hash) {
+  return Hash64(model.value, prefix_hash);
+}
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void PrefixBelief::Confirm(std::uint64_t key, TimePoint now) {
+  this->Forget(key);
+  this->beliefs.push_front({key, now, this->options.confidence});
+  this->index[key] = this->beliefs.begin();
+  if (this->beliefs.size() > this->options.max_prefixes) {
+    this->Forget(this->beliefs.back().key);
+  }
+}
+
+void PrefixBelief::Forget(std::uint64_t key) {
+  const auto found = this->index.find(key);
+  if (found != this->index.end()) {
+    this->beliefs.erase(found->second);
+    this->index.erase(found);
+  }
+}
+
+void PrefixBelief::OnEvents(const CacheEvents& events, TimePoint now) {
+  if (this->seen_events && events.offset > this->next_event) {
+    for (Belief& belief : this->beliefs) {
+      belief.confidence /= 2;
+    }
+  }
+  std::uint64_t offset = events.offset;
+  for (const CacheEvent& event : events.events) {
+    if (this->seen_events && offset++ < this->next_event) {
+      continue;
+    }
+    const std::uint64_t key = KeyOf(event.model, event.prefix_hash);
+    if (event.stored) {
+      this->Confirm(key, now);
+    } else {
+      this->Forget(key);
+    }
+  }
+  this->next_event =
+      std::max(this->next_event, events.offset + events.events.size());
+  this->seen_events = true;
+}
+
+void PrefixBelief::OnUse(const ModelId& model,
+                         std::span<const PrefixBlock> prefix,
+                         std::uint32_t cached_tokens,
+                         TimePoint now) {
+  const bool missed = !prefix.empty() && cached_tokens == 0 &&
+                      this->ExpectedTokens(model, prefix, now) > 0;
+  if (missed) {
+    // A cache that had lost this prefix has lost others that are as old.
+    for (Belief& belief : this->beliefs) {
+      belief.confidence *= 0.9;
+    }
+  }
+  for (const PrefixBlock& block : prefix) {
+    this->Confirm(KeyOf(model, block.hash), now);
+  }
+}
+
+double PrefixBelief::ExpectedTokens(const ModelId& model,
+                                    std::span<const PrefixBlock> prefix,
+                                    TimePoint now) const {
+  double best = 0;
+  for (const PrefixBlock& block : prefix) {
+    const auto found = this->index.find(KeyOf(model, block.hash));
+    if (found == this->index.end()) {
+      continue;
+    }
+    const double half_lives = Seconds(now - found->second->confirmed) /
+                              Seconds(this->options.half_life);
+    best = std::max(best, block.tokens * found->second->confidence *
+                              std::exp2(-half_lives));
+  }
+  return best;
+}
+
+}  // namespace pimentospar
