Admit lower priority classes by their own share of the service

Change: its expected wait is at most the wait on its share.

Guarded by AdmitsALowerClassBehindAFullHigherClass.

--- a/include/pimentospar/admission.h
+++ b/include/pimentospar/admission.h
@@ -167,6 +167,7 @@
   [[nodiscard]] double WeightOf(const OwnerId& owner) const;
   [[nodiscard]] Duration WorkAhead(const OwnerId& owner,
                                    std::size_t level) const;
+  [[nodiscard]] Duration ReserveWait(Duration ahead, std::size_t level) const;
   [[nodiscard]] double RateOf(std::size_t level) const;
   [[nodiscard]] Duration ServiceTime(const Item& item) const;
   [[nodiscard]] Duration RetryAfter(Duration excess) const;
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -64,20 +64,19 @@
   return {request, work, tokens * request.kv_bytes_per_token};
 }
 
+// Work of the same class that fair queueing starts before a new request.
 Duration AdmissionQueue::WorkAhead(const OwnerId& owner,
                                    std::size_t level) const {
-  Duration ahead{0};
-  for (std::size_t higher = 0; higher < level; ++higher) {
-    ahead += this->classes[higher].backlog;
-  }
   const auto& flows = this->classes[level].flows;
   const auto own = flows.find(owner);
-  const Duration backlog =
-      own == flows.end() ? Duration(0) : own->second.backlog;
+  if (own == flows.end()) {
+    return Duration(0);
+  }
+  const Duration backlog = own->second.backlog;
+  Duration ahead{0};
   for (const auto& [other, flow] : flows) {
     const double ratio = this->WeightOf(other) / this->WeightOf(owner);
-    ahead += other == owner ? backlog
-                            : std::min(flow.backlog, Scale(backlog, ratio));
+    ahead += std::min(flow.backlog, Scale(backlog, ratio));
   }
   return ahead;
 }
@@ -101,14 +100,29 @@
   return Scale(item.work, this->stretch);
 }
 
+// Wait of a lower class that is only served out of its share.
+Duration AdmissionQueue::ReserveWait(Duration ahead, std::size_t level) const {
+  std::size_t sharing = 1;
+  for (std::size_t other = 1; other < kClasses; ++other) {
+    sharing +=
+        other != level && this->classes[other].backlog > Duration(0) ? 1 : 0;
+  }
+  const double rate = this->speed * this->options.lower_class_share;
+  const double debt = std::max(0.0, -this->reserve);
+  return Scale(ahead, static_cast<double>(sharing) / rate) +
+         Scale(std::chrono::seconds(1), debt / rate);
+}
+
 Duration AdmissionQueue::ExpectedWait(const OwnerId& owner,
                                       Priority priority) const {
   const std::size_t level = LevelOf(priority);
-  const bool slot_free = this->running.size() < this->options.max_running;
   const Duration ahead = this->WorkAhead(owner, level);
-  return slot_free && ahead == Duration(0)
-             ? Duration(0)
-             : Scale(ahead, 1 / this->RateOf(level));
+  Duration higher{0};
+  for (std::size_t other = 0; other < level; ++other) {
+    higher += this->classes[other].backlog;
+  }
+  const Duration wait = Scale(higher + ahead, 1 / this->RateOf(level));
+  return level == 0 ? wait : std::min(wait, this->ReserveWait(ahead, level));
 }
 
 Duration AdmissionQueue::QueuedWork() const {
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -178,6 +178,24 @@
   BOOST_TEST(in(480, 510) == 10);
 }
 
+// Guards against a share of the lower classes that nobody can use, because each
+// of their requests is refused for the work of the higher class ahead of it.
+BOOST_AUTO_TEST_CASE(AdmitsALowerClassBehindAFullHigherClass) {
+  ManualClock clock;
+  AdmissionQueue queue(clock, OneAtATime());
+  std::uint64_t id = 0;
+  WorkRequest urgent;
+  do {
+    urgent = Request(++id, "o", clock.Now() + 5s);
+    urgent.priority = Priority::kInteractive;
+  } while (RefusedFor(queue.Offer(urgent)) == Reason::kNone && id < 100);
+  BOOST_TEST(id == 51U);
+  const auto reason =
+      RefusedFor(queue.Offer(Request(200, "o", clock.Now() + 5s)));
+  BOOST_TEST((reason == Reason::kNone));
+  BOOST_TEST(Serve(queue, clock, 2).back() == 200U);
+}
+
 // Guards against promises by the nominal speed of an engine that is slower.
 BOOST_AUTO_TEST_CASE(LearnsTheMeasuredSpeed) {
   ManualClock clock;
