Estimate the service time from the requests that share the engine

Cause: the average stretch of past requests lags behind a rising load, so that requests were accepted that then finished late. Change: the estimate is at least the number of requests beside it over the measured speed.

--- a/include/pimentospar/admission.h
+++ b/include/pimentospar/admission.h
@@ -169,7 +169,8 @@
                                    std::size_t level) const;
   [[nodiscard]] Duration ReserveWait(Duration ahead, std::size_t level) const;
   [[nodiscard]] double RateOf(std::size_t level) const;
-  [[nodiscard]] Duration ServiceTime(const Item& item) const;
+  [[nodiscard]] Duration ServiceTime(const Item& item,
+                                     std::size_t beside) const;
   [[nodiscard]] Duration RetryAfter(Duration excess) const;
   [[nodiscard]] bool IsFull() const;
   bool MakeRoom(const OwnerId& owner, std::size_t level);
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -96,8 +96,14 @@
   return std::max(rate, this->speed * least);
 }
 
-Duration AdmissionQueue::ServiceTime(const Item& item) const {
-  return Scale(item.work, this->stretch);
+// A request shares the engine with those that run or will run beside it, so
+// that the past stretch alone is too low when the load rises.
+Duration AdmissionQueue::ServiceTime(const Item& item,
+                                     std::size_t beside) const {
+  const std::size_t sharing =
+      1 + std::min<std::size_t>(beside, this->options.max_running - 1);
+  return Scale(item.work, std::max(this->stretch,
+                                   static_cast<double>(sharing) / this->speed));
 }
 
 // Wait of a lower class that is only served out of its share.
@@ -157,7 +163,9 @@
   }
   const Duration wait = this->ExpectedWait(request.owner, request.priority);
   const Duration excess =
-      now + wait + this->ServiceTime(item) - request.deadline;
+      now + wait +
+      this->ServiceTime(item, this->running.size() + this->waiting) -
+      request.deadline;
   // A lone request is never refused: only running it can show that the
   // estimate has become too high.
   const bool idle = this->running.empty() && this->waiting == 0;
@@ -344,7 +352,9 @@
       this->Drop(this->RemoveAt(*level, owner, 0), Reason::kDeadlineExceeded);
       continue;
     }
-    if (now + this->ServiceTime(head) > head.request.deadline &&
+    if (now + this->ServiceTime(head,
+                                this->running.size() + this->waiting - 1) >
+            head.request.deadline &&
         !this->running.empty()) {
       this->Drop(this->RemoveAt(*level, owner, 0), Reason::kOverloaded);
       continue;
