Learn how requests slow each other down at a target

Cause: the speed is only measured while requests wait, so that the estimate for an engine slower than its nominal speed stayed too low near 1x of capacity. Change: the stretch of each finished request is learned by the number of requests that ran beside it, and the service time is predicted from that.

--- a/include/pimentospar/admission.h
+++ b/include/pimentospar/admission.h
@@ -14,6 +14,7 @@
 #include "pimentospar/clock.h"
 #include "pimentospar/config.h"
 #include "pimentospar/reason.h"
+#include "pimentospar/slowdown.h"
 #include "pimentospar/types.h"
 
 namespace pimentospar {
@@ -161,6 +162,7 @@
     Item item;
     TimePoint started;
     Duration saturated_total_at_start{0};
+    Duration concurrency_time_at_start{0};
   };
 
   [[nodiscard]] Item Estimate(const WorkRequest& request) const;
@@ -207,6 +209,9 @@
   double speed = 1.0;
   /// Duration of a running request as a multiple of its work.
   double stretch = 1.0;
+  ConcurrencySlowdown slowdown;
+  /// Sum over time of the number of running requests.
+  Duration concurrency_time{0};
   /// Real output as a share of the maximum.
   double output_share = 1.0;
   AdmissionCounters counters;
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -102,8 +102,8 @@
                                      std::size_t beside) const {
   const std::size_t sharing =
       1 + std::min<std::size_t>(beside, this->options.max_running - 1);
-  return Scale(item.work, std::max(this->stretch,
-                                   static_cast<double>(sharing) / this->speed));
+  return Scale(item.work,
+               std::max(this->stretch, this->slowdown.Predict(sharing)));
 }
 
 // Wait of a lower class that is only served out of its share.
@@ -368,7 +368,8 @@
     const AttemptId attempt = item.request.attempt;
     this->kv_in_use += item.kv_bytes;
     this->running.emplace(attempt,
-                          Started{std::move(item), now, this->saturated_total});
+                          Started{std::move(item), now, this->saturated_total,
+                                  this->concurrency_time});
     ++this->counters.started;
     return attempt;
   }
@@ -418,6 +419,8 @@
     this->saturated_time += step;
     this->saturated_total += step;
   }
+  this->concurrency_time +=
+      (now - this->saturation_checked) * this->running.size();
   this->saturation_checked = now;
 }
 
@@ -447,7 +450,12 @@
         gain *
         (static_cast<double>(done.output_tokens) / limit - this->output_share);
   }
-  this->stretch += gain * (Seconds(elapsed) / Seconds(work) - this->stretch);
+  const double stretch = Seconds(elapsed) / Seconds(work);
+  this->stretch += gain * (stretch - this->stretch);
+  this->slowdown.Learn(
+      Seconds(this->concurrency_time - started.concurrency_time_at_start) /
+          Seconds(elapsed),
+      stretch, gain);
   this->MeasureSpeed(
       work, Seconds(this->saturated_total - started.saturated_total_at_start) /
                 Seconds(elapsed));
--- /dev/null
+++ b/src/slowdown.cc
@@ -0,0 +1,46 @@
+#include "pimentospar/slowdown.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <cstdint>
+
+namespace pimentospar {
+
+namespace {
+
+std::size_t BucketOf(double concurrency) {
+  const auto whole =
+      static_cast<std::uint64_t>(std::max(1.0, std::round(concurrency)));
+  return std::min<std::size_t>(std::bit_width(whole) - 1,
+                               ConcurrencySlowdown::kBuckets - 1);
+}
+
+}  // namespace
+
+void ConcurrencySlowdown::Learn(double concurrency,
+                                double stretch,
+                                double gain) {
+  const std::size_t bucket = BucketOf(concurrency);
+  const double sample = stretch / std::max(1.0, concurrency);
+  double& known = this->per_request[bucket];
+  known = known == 0 ? sample : known + gain * (sample - known);
+}
+
+double ConcurrencySlowdown::Predict(std::size_t concurrency) const {
+  const auto beside = static_cast<double>(concurrency);
+  const std::size_t bucket = BucketOf(beside);
+  for (std::size_t lower = bucket + 1; lower-- > 0;) {
+    if (this->per_request[lower] > 0) {
+      return this->per_request[lower] * beside;
+    }
+  }
+  for (std::size_t higher = bucket + 1; higher < kBuckets; ++higher) {
+    if (this->per_request[higher] > 0) {
+      return this->per_request[higher] * beside;
+    }
+  }
+  return beside;
+}
+
+}  // namespace pimentospar
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -211,6 +211,19 @@
   }
   BOOST_TEST(queue.MeasuredSpeed() > 0.23);
   BOOST_TEST(queue.MeasuredSpeed() < 0.27);
+  // A request alone takes 400 ms on this engine.
+  AdmissionQueue other(clock, OneAtATime());
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    other.Offer(Request(id, "o", clock.Now() + 1h));
+    other.TakeNext();
+    clock.Advance(400ms);
+    other.OnFinished({AttemptId{id}, 100});
+  }
+  other.Offer(Request(101, "o", clock.Now() + 1h));
+  other.TakeNext();
+  const auto early =
+      RefusedFor(other.Offer(Request(102, "o", clock.Now() + 300ms)));
+  BOOST_TEST((early == Reason::kOverloaded));
   const Duration expected = queue.ExpectedWait(OwnerId("o"), Priority::kNormal);
   BOOST_TEST((expected > 200 * 400ms * 0.9 && expected < 200 * 400ms * 1.1));
 }
