Test that a cleared strike does not come back by gossip

A trial in which any later report overrides a cleared strike passed quarantine_test; with the new check GossipConverges fails on it.

--- a/test/quarantine_test.cc
+++ b/test/quarantine_test.cc
@@ -102,6 +102,12 @@
     RC_ASSERT(peer.Strikes(kBad) <=
               static_cast<std::size_t>(std::ranges::count(struck, true)));
   }
+  peers[0].OnCompleted(kBad);
+  exchange(1, 0);
+  exchange(0, 2);
+  exchange(1, 2);
+  RC_ASSERT(!peers[0].HasStrike(kBad));
+  RC_ASSERT(!peers[2].HasStrike(kBad));
 }
 
 // Guards against two suspects on one target, which could then not be told
