Add the configuration log

Cause: operators race, appends lose their answers, and the log keeps records for a limited time, so every process must compute the same verdicts.

--- /dev/null
+++ b/src/config_log.cc
@@ -0,0 +1,386 @@
+#include "pimentospar/config_log.h"
+
+#include <algorithm>
+
+#include "config_log_detail.h"
+
+namespace pimentospar {
+
+namespace {
+
+constexpr std::size_t kMaxCandidates = 4;
+constexpr std::size_t kMaxNeeded = std::size_t{1} << 16;
+// Time to see one's own snapshot on the log before it is written again.
+constexpr Duration kWriteInterval = std::chrono::minutes(2);
+// Share of a quarter of the retention over which the writers spread. The
+// snapshot is at most 3/8 of the retention old when the last of them writes.
+constexpr double kJitterShare = 0.5;
+
+// Returns whether `newer` contains the last link of `older`.
+bool Extends(const detail::ConfigState& newer,
+             const detail::ConfigState& older) {
+  if (older.lines.empty()) {
+    return true;
+  }
+  const ChangeLine* line = detail::FindLine(newer, older.lines.back().offset);
+  return line != nullptr && line->hash == older.head;
+}
+
+}  // namespace
+
+ConfigLog::ConfigLog(const Clock& clock,
+                     RandomSource& random,
+                     ConfigLogOptions options)
+    : clock(clock),
+      random(random),
+      options(options),
+      state(std::make_unique<detail::ConfigState>()),
+      kept_from(options.first_offset),
+      scanned(options.first_offset),
+      jitter(random.Unit()) {
+  this->state->next = options.first_offset;
+}
+
+ConfigLog::~ConfigLog() = default;
+
+std::vector<ConfigEvent> ConfigLog::OnLogRecords(
+    std::span<const ConfigRecord> records) {
+  std::vector<ConfigEvent> events;
+  bool is_missing = false;
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    const ConfigRecord& record = records[i];
+    this->scanned = std::max(this->scanned, LogOffset{record.offset.value + 1});
+    this->Need(record.offset, record.time_ms);
+    if (IsSnapshotRecord(record.body)) {
+      const LogOffset before = this->state->next;
+      this->OnSnapshotRecord(record, events);
+      if (this->state->next == record.offset) {
+        this->state->next = LogOffset{record.offset.value + 1};
+        continue;
+      }
+      if (this->state->next != before) {
+        // The records after the snapshot's last change may be in this batch.
+        is_missing = false;
+        this->scanned = this->state->next;
+        i = static_cast<std::size_t>(-1);
+      } else {
+        is_missing = is_missing || this->state->next < record.offset;
+      }
+      continue;
+    }
+    if (record.offset < this->state->next) {
+      this->CheckReplay(record, events);
+      continue;
+    }
+    if (record.offset > this->state->next) {
+      is_missing = true;
+      continue;
+    }
+    this->Keep(record);
+    events.emplace_back(
+        ChangeJudged{detail::ApplyChange(*this->state, record)});
+  }
+  if (is_missing) {
+    events.emplace_back(RecordsMissing{this->state->next});
+  } else {
+    this->scanned = this->state->next;
+  }
+  return events;
+}
+
+void ConfigLog::CheckReplay(const ConfigRecord& record,
+                            std::vector<ConfigEvent>& events) const {
+  const ChangeLine* line = detail::FindLine(*this->state, record.offset);
+  if (line == nullptr || line == &this->state->lines.front()) {
+    return;
+  }
+  const auto previous =
+      std::ranges::lower_bound(
+          this->state->lines, record.offset, {},
+          [](const ChangeLine& item) { return item.offset; }) -
+      1;
+  if (ChainHash(previous->hash, record.body) != line->hash) {
+    events.emplace_back(SourceRefused{
+        Refusal::kOtherChain,
+        "offset " + std::to_string(record.offset.value) +
+            " holds another record than the one that was judged"});
+  }
+}
+
+void ConfigLog::OnSnapshotRecord(const ConfigRecord& record,
+                                 std::vector<ConfigEvent>& events) {
+  std::optional<detail::SnapshotRecord> part =
+      detail::DecodeSnapshotRecord(record.body);
+  if (!part || part->through >= record.offset) {
+    events.emplace_back(SourceRefused{Refusal::kCorrupt, "snapshot record"});
+    return;
+  }
+  const std::optional<std::string_view> own =
+      detail::HeadAt(*this->state, part->through);
+  if (own && *own != part->chain_head) {
+    events.emplace_back(SourceRefused{Refusal::kOtherChain, "snapshot"});
+    return;
+  }
+  if (own && *own == this->state->head) {
+    // The state at this snapshot is known, so its bytes are known as well.
+    const std::vector<std::string> expected =
+        detail::EncodeSnapshotRecords(*this->state, part->through);
+    if (part->part >= expected.size() || expected[part->part] != record.body) {
+      events.emplace_back(SourceRefused{Refusal::kCorrupt, "snapshot bytes"});
+      return;
+    }
+  }
+  const bool is_known = part->through < this->state->next;
+  const LogOffset through = part->through;
+  if (std::optional<std::string> data = this->Collect(std::move(*part))) {
+    if (is_known || this->Install(*data, events)) {
+      this->OnSnapshotComplete(through);
+    }
+  }
+}
+
+std::optional<std::string> ConfigLog::Collect(detail::SnapshotRecord part) {
+  auto found = std::ranges::find_if(
+      this->candidates, [&](const detail::SnapshotParts& item) {
+        return item.through == part.through &&
+               item.chain_head == part.chain_head && item.parts == part.parts;
+      });
+  if (found == this->candidates.end()) {
+    if (this->candidates.size() == kMaxCandidates) {
+      this->candidates.erase(std::ranges::min_element(
+          this->candidates, {}, &detail::SnapshotParts::through));
+    }
+    found = this->candidates.insert(
+        this->candidates.end(),
+        {part.through, part.chain_head, part.parts, {}});
+  }
+  const bool is_known = part.through < this->state->next;
+  found->data[part.part] = is_known ? "" : std::move(part.data);
+  if (found->data.size() < found->parts) {
+    return std::nullopt;
+  }
+  std::string data;
+  for (const auto& [number, text] : found->data) {
+    data += text;
+  }
+  this->candidates.erase(found);
+  return data;
+}
+
+void ConfigLog::OnSnapshotComplete(LogOffset through) {
+  const bool is_newer =
+      !this->needed.empty() && this->needed.front().offset <= through;
+  while (!this->needed.empty() && this->needed.front().offset <= through) {
+    this->needed.pop_front();
+  }
+  if (is_newer) {
+    this->jitter = this->random.Unit();
+  }
+}
+
+void ConfigLog::Need(LogOffset offset, std::int64_t time_ms) {
+  if (this->needed.size() < kMaxNeeded &&
+      (this->needed.empty() || this->needed.back().offset < offset)) {
+    this->needed.push_back({offset, time_ms});
+  }
+}
+
+bool ConfigLog::Install(std::string_view data,
+                        std::vector<ConfigEvent>& events) {
+  std::optional<detail::ConfigState> snapshot = detail::DecodeSnapshot(data);
+  if (!snapshot) {
+    events.emplace_back(SourceRefused{Refusal::kCorrupt, "snapshot content"});
+    return false;
+  }
+  if (snapshot->next <= this->state->next) {
+    // A state that has judged later records does not go back.
+    events.emplace_back(SourceRefused{Refusal::kOlder, "snapshot"});
+    return false;
+  }
+  if (!Extends(*snapshot, *this->state)) {
+    events.emplace_back(SourceRefused{Refusal::kOtherChain, "snapshot"});
+    return false;
+  }
+  *this->state = std::move(*snapshot);
+  this->kept.clear();
+  this->kept_bytes = 0;
+  this->kept_from = this->state->next;
+  events.emplace_back(SnapshotInstalled{*this->state->version});
+  return true;
+}
+
+std::vector<ConfigEvent> ConfigLog::OnPeerUpdate(const PeerUpdate& update) {
+  if (update.next <= this->state->next) {
+    return update.next == this->state->next
+               ? std::vector<ConfigEvent>()
+               : std::vector<ConfigEvent>{SourceRefused{
+                     Refusal::kOlder, "the peer has read less of the log"}};
+  }
+  std::vector<ConfigEvent> events;
+  detail::ConfigState trial = *this->state;
+  bool is_snapshot = false;
+  if (!update.snapshot.empty()) {
+    std::optional<detail::ConfigState> snapshot =
+        detail::DecodeSnapshot(update.snapshot);
+    if (!snapshot) {
+      return {SourceRefused{Refusal::kCorrupt, "snapshot of the peer"}};
+    }
+    if (snapshot->next > trial.next) {
+      if (!Extends(*snapshot, trial)) {
+        return {SourceRefused{Refusal::kOtherChain, "snapshot of the peer"}};
+      }
+      trial = std::move(*snapshot);
+      is_snapshot = true;
+      events.emplace_back(SnapshotInstalled{*trial.version});
+    }
+  }
+  if (update.from > trial.next) {
+    return {RecordsMissing{trial.next}};
+  }
+  std::vector<const ConfigRecord*> fresh;
+  for (const ConfigRecord& record : update.records) {
+    if (record.offset < trial.next || IsSnapshotRecord(record.body)) {
+      continue;
+    }
+    events.emplace_back(ChangeJudged{detail::ApplyChange(trial, record)});
+    fresh.push_back(&record);
+  }
+  if (trial.head != update.chain_head || trial.next > update.next) {
+    return {SourceRefused{Refusal::kOtherChain, "records of the peer"}};
+  }
+  trial.next = update.next;
+  this->Commit(std::move(trial), is_snapshot, fresh);
+  this->AdoptAge(update);
+  return events;
+}
+
+void ConfigLog::Commit(detail::ConfigState trial,
+                       bool is_snapshot,
+                       std::span<const ConfigRecord* const> fresh) {
+  if (is_snapshot) {
+    this->kept.clear();
+    this->kept_bytes = 0;
+    this->kept_from = fresh.empty() ? trial.next : fresh.front()->offset;
+    this->needed.clear();
+  }
+  *this->state = std::move(trial);
+  for (const ConfigRecord* record : fresh) {
+    this->Keep(*record);
+    this->Need(record->offset, record->time_ms);
+  }
+  this->scanned = this->state->next;
+}
+
+// Without an age from the peer a snapshot counts as due: most processes start
+// from a peer, and if none of them knew the age, none would renew the snapshot.
+void ConfigLog::AdoptAge(const PeerUpdate& update) {
+  while (!this->needed.empty() &&
+         this->needed.front().time_ms < update.oldest_needed_ms) {
+    this->needed.pop_front();
+  }
+  if (this->needed.empty() || !update.snapshot.empty()) {
+    this->needed.push_front(
+        {LogOffset{update.next.value - 1}, update.oldest_needed_ms});
+  }
+}
+
+void ConfigLog::Keep(const ConfigRecord& record) {
+  this->kept.push_back(record);
+  this->kept_bytes += record.body.size();
+  while (!this->kept.empty() &&
+         (this->kept.size() > this->options.kept_records ||
+          this->kept_bytes > this->options.kept_bytes)) {
+    this->kept_from = LogOffset{this->kept.front().offset.value + 1};
+    this->kept_bytes -= this->kept.front().body.size();
+    this->kept.pop_front();
+  }
+}
+
+PeerUpdate ConfigLog::UpdateSince(std::optional<ConfigVersion> version) const {
+  PeerUpdate update;
+  update.from = version ? LogOffset{version->value + 1} : this->state->next;
+  update.next = this->state->next;
+  update.chain_head = this->state->head;
+  update.oldest_needed_ms =
+      this->needed.empty() ? 0 : this->needed.front().time_ms;
+  if (!version || update.from < this->kept_from) {
+    update.snapshot = this->Snapshot();
+    update.from = this->state->next;
+    return update;
+  }
+  for (const ConfigRecord& record : this->kept) {
+    if (record.offset >= update.from) {
+      update.records.push_back(record);
+    }
+  }
+  return update;
+}
+
+std::vector<std::string> ConfigLog::SnapshotIfDue() {
+  if (!this->state->version || this->scanned != this->state->next ||
+      this->needed.empty()) {
+    return {};
+  }
+  const auto quarter = std::chrono::duration<double, std::milli>(
+      this->InForce()->log.retention / 4.0);
+  const std::int64_t now = this->clock.WallNow().time_since_epoch().count();
+  const double due = quarter.count() * (1.0 + this->jitter * kJitterShare);
+  if (static_cast<double>(now - this->needed.front().time_ms) < due) {
+    return {};
+  }
+  if (this->last_write &&
+      this->clock.Now() - *this->last_write < kWriteInterval) {
+    return {};
+  }
+  this->last_write = this->clock.Now();
+  return this->SnapshotRecords();
+}
+
+std::vector<std::string> ConfigLog::SnapshotRecords() const {
+  return detail::EncodeSnapshotRecords(*this->state,
+                                       LogOffset{this->state->next.value - 1});
+}
+
+std::string ConfigLog::Snapshot() const {
+  return detail::EncodeSnapshot(*this->state,
+                                LogOffset{this->state->next.value - 1});
+}
+
+LogOffset ConfigLog::ReadFrom() const {
+  return std::max(this->scanned, this->state->next);
+}
+
+LogOffset ConfigLog::Next() const {
+  return this->state->next;
+}
+
+const Configuration* ConfigLog::InForce() const {
+  return this->state->configuration.get();
+}
+
+std::shared_ptr<const Configuration> ConfigLog::ShareInForce() const {
+  return this->state->configuration;
+}
+
+std::string_view ConfigLog::Document() const {
+  return this->state->document;
+}
+
+std::optional<ConfigVersion> ConfigLog::Version() const {
+  return this->state->version;
+}
+
+std::string_view ConfigLog::ChainHead() const {
+  return this->state->head;
+}
+
+const std::deque<ChangeLine>& ConfigLog::History() const {
+  return this->state->lines;
+}
+
+const ChangeLine* ConfigLog::FindChange(std::string_view id) const {
+  const auto found = std::ranges::find(this->state->lines, id, &ChangeLine::id);
+  return found == this->state->lines.end() ? nullptr : &*found;
+}
+
+}  // namespace pimentospar
--- a/support/setup.sh
+++ b/support/setup.sh
@@ -7,7 +7,7 @@
   libboost1.81-dev libboost-fiber1.81-dev libboost-context1.81-dev
   libboost-json1.81-dev libboost-test1.81-dev
   libcapnp-dev capnproto libpopt-dev libspdlog-dev libtomlplusplus-dev
-  libxxhash-dev libssl-dev librapidcheck-dev spin curl
+  libxxhash-dev libssl-dev librapidcheck-dev nlohmann-json3-dev spin curl
 )
 
 missing=()
