--- /dev/null
+++ b/include/pimentospar/questionnaire.h
@@ -0,0 +1,48 @@
+#ifndef INCLUDE_PIMENTOSPAR_QUESTIONNAIRE_H_
+#define INCLUDE_PIMENTOSPAR_QUESTIONNAIRE_H_
+
+#include <boost/leaf/result.hpp>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pimentospar/config.h"
+
+namespace pimentospar {
+
+/// One thing that is wrong with a filled-in form.
+struct FormError {
+  /// Line of the form, from 1.
+  std::size_t line = 0;
+  std::string problem;
+  std::string remedy;
+};
+
+/// All that is wrong with a form, ordered by line; the error of `Generate`.
+struct FormErrors {
+  std::vector<FormError> errors;
+};
+
+/// Share of accelerator memory that the check of a form leaves for the KV cache
+/// and the adapter pool.
+inline constexpr double kWorkingShare = 0.2;
+
+/// Returns the commented TOML form, filled in with a small example.
+[[nodiscard]] std::string_view QuestionnaireForm();
+
+/// Turns a filled-in form into a configuration; the error is a `FormErrors`
+/// that lists everything wrong. Draws no tokens: the form holds their hashes.
+///
+///     leaf::result<Configuration> configuration = Generate(form);
+[[nodiscard]] boost::leaf::result<Configuration> Generate(
+    std::string_view form);
+
+/// Checks that each model has room for one copy while any one region is gone.
+/// The paths name models, such as `models[3]`, or `targets`.
+[[nodiscard]] std::vector<ConfigError> CheckFit(
+    const Configuration& configuration);
+
+}  // namespace pimentospar
+
+#endif  // INCLUDE_PIMENTOSPAR_QUESTIONNAIRE_H_
--- /dev/null
+++ b/src/questionnaire.cc
@@ -0,0 +1,659 @@
+#include "pimentospar/questionnaire.h"
+
+#define TOML_EXCEPTIONS 0
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <cmath>
+#include <optional>
+#include <set>
+
+namespace pimentospar {
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr double kGigabyte = 1e9;
+constexpr double kMegabyte = 1e6;
+constexpr double kKilobyte = 1e3;
+constexpr std::uint64_t kMaxCount = 100'000;
+constexpr std::size_t kHashDigits = 64;
+
+std::size_t LineOf(const toml::node& node) {
+  return node.source().begin.line;
+}
+
+// Collects the errors, and the line behind each path of the configuration.
+struct Report {
+  struct Origin {
+    std::string path;
+    std::size_t line = 0;
+  };
+  std::vector<FormError> errors;
+  std::vector<Origin> origins;
+
+  void Note(std::size_t line, std::string problem, std::string remedy) {
+    const bool is_known =
+        std::ranges::any_of(this->errors, [&](const FormError& error) {
+          return error.line == line && error.problem == problem;
+        });
+    if (!is_known) {
+      this->errors.push_back({line, std::move(problem), std::move(remedy)});
+    }
+  }
+
+  // Finds the line of `models[3].owner`: that of `models[3].owner` itself, or
+  // of `models[3]`, or of `models`.
+  [[nodiscard]] std::size_t LineOfPath(std::string_view path) const {
+    while (!path.empty()) {
+      const auto found = std::ranges::find(this->origins, path, &Origin::path);
+      if (found != this->origins.end()) {
+        return found->line;
+      }
+      const std::size_t cut = path.find_last_of(".[");
+      path = cut == std::string_view::npos ? "" : path.substr(0, cut);
+    }
+    return 1;
+  }
+};
+
+// Reads the values of one table and notes each problem with its line.
+class TableReader {
+ public:
+  TableReader(const toml::table& table, Report& report)
+      : table(table), report(report) {}
+
+  // Notes where the values of this table go, for errors found later.
+  void SetPath(std::string path) {
+    this->report.origins.push_back({path, this->Line()});
+    for (const auto& [key, node] : this->table) {
+      this->report.origins.push_back(
+          {path + "." + std::string(key.str()), LineOf(node)});
+    }
+  }
+
+  [[nodiscard]] std::size_t Line() const { return LineOf(this->table); }
+
+  std::string Text(std::string_view key, std::string fallback) {
+    const toml::node* node = this->Take(key);
+    if (node == nullptr) {
+      return fallback;
+    }
+    const auto text = node->value_exact<std::string>();
+    if (!text || text->empty()) {
+      this->Wrong(*node, key, "is not a text", "write a text in quotes");
+      return fallback;
+    }
+    return *text;
+  }
+
+  std::string Id() {
+    if (this->table.get("id") == nullptr) {
+      this->report.Note(this->Line(), "id is missing", "add id = \"...\"");
+    }
+    return this->Text("id", "line-" + std::to_string(this->Line()));
+  }
+
+  bool Flag(std::string_view key, bool fallback) {
+    const toml::node* node = this->Take(key);
+    if (node == nullptr) {
+      return fallback;
+    }
+    const auto flag = node->value_exact<bool>();
+    if (!flag) {
+      this->Wrong(*node, key, "is not true or false", "write true or false");
+    }
+    return flag.value_or(fallback);
+  }
+
+  double Real(std::string_view key, double fallback, double low, double high) {
+    const toml::node* node = this->Take(key);
+    if (node == nullptr) {
+      return fallback;
+    }
+    const auto number =
+        node->is_number() ? node->value<double>() : std::optional<double>();
+    if (!number || !(*number >= low && *number <= high)) {
+      this->Wrong(*node, key, "is not a number in range",
+                  "choose a value from " + Show(low) + " to " + Show(high));
+      return fallback;
+    }
+    return *number;
+  }
+
+  std::uint64_t Whole(std::string_view key,
+                      std::uint64_t fallback,
+                      std::uint64_t low,
+                      std::uint64_t high) {
+    const toml::node* node = this->Take(key);
+    if (node == nullptr) {
+      return fallback;
+    }
+    const auto number = node->value_exact<std::int64_t>();
+    if (!number || *number < 0 || static_cast<std::uint64_t>(*number) < low ||
+        static_cast<std::uint64_t>(*number) > high) {
+      this->Wrong(*node, key, "is not a whole number in range",
+                  "choose a value from " + std::to_string(low) + " to " +
+                      std::to_string(high));
+      return fallback;
+    }
+    return static_cast<std::uint64_t>(*number);
+  }
+
+  Bytes Size(std::string_view key, double unit, bool required) {
+    if (required && this->table.get(key) == nullptr) {
+      this->report.Note(this->Line(), std::string(key) + " is missing",
+                        "add it; it is the size of one");
+    }
+    return static_cast<Bytes>(
+        std::llround(this->Real(key, 0.0, 0.0, 1e6) * unit));
+  }
+
+  std::vector<std::string> Texts(std::string_view key) {
+    std::vector<std::string> texts;
+    const toml::node* node = this->Take(key);
+    if (node == nullptr) {
+      return texts;
+    }
+    const toml::array* array = node->as_array();
+    if (array == nullptr) {
+      this->Wrong(*node, key, "is not a list", "write [\"...\", \"...\"]");
+      return texts;
+    }
+    for (const toml::node& item : *array) {
+      const auto text = item.value_exact<std::string>();
+      if (!text || text->empty()) {
+        this->Wrong(item, key, "holds something that is not a text",
+                    "write a text in quotes");
+        continue;
+      }
+      texts.push_back(*text);
+    }
+    return texts;
+  }
+
+  template <typename Enum>
+  Enum Choice(
+      std::string_view key,
+      Enum fallback,
+      std::initializer_list<std::pair<std::string_view, Enum>> choices) {
+    const toml::node* node = this->Take(key);
+    if (node == nullptr) {
+      return fallback;
+    }
+    const std::string text = node->value_or(std::string());
+    std::string names;
+    for (const auto& [name, choice] : choices) {
+      if (name == text) {
+        return choice;
+      }
+      names += (names.empty() ? "" : ", ") + std::string(name);
+    }
+    this->Wrong(*node, key, "has an unknown value", "choose one of " + names);
+    return fallback;
+  }
+
+  // Calls `read` with a reader for each table of a list of tables.
+  template <typename Function>
+  void Tables(std::string_view key, Function read) {
+    const toml::node* node = this->Take(key);
+    if (node == nullptr) {
+      return;
+    }
+    const toml::array* array = node->as_array();
+    if (array == nullptr) {
+      this->Wrong(*node, key, "is not a list of tables",
+                  "write [[" + std::string(key) + "]] above each entry");
+      return;
+    }
+    this->report.origins.push_back({std::string(key), LineOf(*node)});
+    for (const toml::node& item : *array) {
+      if (const toml::table* entry = item.as_table()) {
+        TableReader reader(*entry, this->report);
+        read(reader);
+        reader.Finish();
+        continue;
+      }
+      this->Wrong(item, key, "holds something that is not a table",
+                  "write [[" + std::string(key) + "]] above each entry");
+    }
+  }
+
+  template <typename Function>
+  void Table(std::string_view key, Function read) {
+    const toml::node* node = this->Take(key);
+    if (node == nullptr) {
+      return;
+    }
+    if (const toml::table* entry = node->as_table()) {
+      TableReader reader(*entry, this->report);
+      reader.SetPath(std::string(key));
+      read(reader);
+      reader.Finish();
+      return;
+    }
+    this->Wrong(*node, key, "is not a table",
+                "write [" + std::string(key) + "] above its values");
+  }
+
+  // Returns the line of a value, or that of the table.
+  [[nodiscard]] std::size_t LineOfKey(std::string_view key) const {
+    const toml::node* node = this->table.get(key);
+    return node == nullptr ? this->Line() : LineOf(*node);
+  }
+
+  void Finish() {
+    for (const auto& [key, node] : this->table) {
+      if (!this->known.contains(std::string(key.str()))) {
+        this->report.Note(LineOf(node),
+                          "'" + std::string(key.str()) + "' is an unknown key",
+                          "remove it or correct its name");
+      }
+    }
+  }
+
+  Report& Notes() { return this->report; }
+
+ private:
+  const toml::node* Take(std::string_view key) {
+    this->known.emplace(key);
+    return this->table.get(key);
+  }
+
+  void Wrong(const toml::node& node,
+             std::string_view key,
+             std::string_view problem,
+             std::string remedy) {
+    this->report.Note(LineOf(node),
+                      std::string(key) + " " + std::string(problem),
+                      std::move(remedy));
+  }
+
+  static std::string Show(double number) {
+    std::string text = std::to_string(number);
+    text.erase(text.find_last_not_of('0') + 1);
+    if (text.back() == '.') {
+      text.pop_back();
+    }
+    return text;
+  }
+
+  const toml::table& table;
+  Report& report;
+  std::set<std::string> known;
+};
+
+// Returns the names of a group: the id itself, or the id with numbers of equal
+// width.
+std::vector<std::string> GroupNames(TableReader& reader) {
+  const std::string id = reader.Id();
+  const std::uint64_t count = reader.Whole("count", 0, 1, kMaxCount);
+  if (count == 0) {
+    return {id};
+  }
+  const std::size_t width =
+      std::max<std::size_t>(2, std::to_string(count).size());
+  std::vector<std::string> names;
+  names.reserve(count);
+  for (std::uint64_t i = 1; i <= count; ++i) {
+    const std::string number = std::to_string(i);
+    names.push_back(id + "-" + std::string(width - number.size(), '0') +
+                    number);
+  }
+  return names;
+}
+
+Priority ReadPriority(TableReader& reader, Priority fallback) {
+  return reader.Choice<Priority>("priority", fallback,
+                                 {{"interactive", Priority::kInteractive},
+                                  {"normal", Priority::kNormal},
+                                  {"batch", Priority::kBatch}});
+}
+
+struct OwnerAnswers {
+  OwnerId id;
+  Priority priority = Priority::kNormal;
+  std::vector<std::string> models;
+  std::vector<std::string> services;
+  std::size_t models_line = 0;
+  std::size_t services_line = 0;
+};
+
+bool IsSha256(std::string_view text) {
+  return text.size() == kHashDigits &&
+         text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+void ReadOwners(TableReader& form,
+                Configuration& configuration,
+                std::vector<OwnerAnswers>& answers) {
+  form.Tables("owners", [&](TableReader& reader) {
+    reader.SetPath("owners[" + std::to_string(configuration.owners.size()) +
+                   "]");
+    OwnerConfig owner;
+    owner.id = OwnerId(reader.Id());
+    owner.weight = reader.Real("weight", 1.0, 0.001, 1000.0);
+    owner.token_hashes = reader.Texts("token_hashes");
+    if (owner.token_hashes.empty()) {
+      reader.Notes().Note(
+          reader.LineOfKey("token_hashes"),
+          "owner '" + owner.id.value + "' has no token",
+          "run pimentosparctl token and add the SHA-256 to token_hashes");
+    }
+    for (const std::string& hash : owner.token_hashes) {
+      if (!IsSha256(hash)) {
+        reader.Notes().Note(
+            reader.LineOfKey("token_hashes"),
+            "token_hashes holds something that is not a SHA-256",
+            "write 64 digits of 0-9 and a-f as printed by "
+            "pimentosparctl token");
+      }
+    }
+    OwnerAnswers answer{owner.id, ReadPriority(reader, Priority::kNormal)};
+    answer.models = reader.Texts("models");
+    answer.services = reader.Texts("services");
+    answer.models_line = reader.LineOfKey("models");
+    answer.services_line = reader.LineOfKey("services");
+    answers.push_back(std::move(answer));
+    configuration.owners.push_back(std::move(owner));
+  });
+}
+
+void ReadRegions(TableReader& form, Configuration& configuration) {
+  form.Tables("regions", [&](TableReader& reader) {
+    reader.SetPath("regions[" + std::to_string(configuration.regions.size()) +
+                   "]");
+    RegionConfig region;
+    region.id = RegionId(reader.Id());
+    for (const std::string& name : reader.Texts("data_centres")) {
+      region.data_centres.emplace_back(name);
+    }
+    if (region.data_centres.empty()) {
+      reader.Notes().Note(reader.LineOfKey("data_centres"),
+                          "region '" + region.id.value + "' has no data centre",
+                          "add data_centres = [\"...\"]");
+    }
+    configuration.regions.push_back(std::move(region));
+  });
+}
+
+void ReadModels(TableReader& form,
+                Configuration& configuration,
+                const std::vector<OwnerAnswers>& owners) {
+  form.Tables("models", [&](TableReader& reader) {
+    ModelConfig model;
+    model.version = reader.Text("version", "1");
+    model.weight_bytes = reader.Size("weight_gb", kGigabyte, true);
+    model.kv_bytes_per_token = reader.Size("kv_kb_per_token", kKilobyte, true);
+    model.owner = OwnerId(reader.Text("owner", ""));
+    const auto owner =
+        std::ranges::find(owners, model.owner, &OwnerAnswers::id);
+    model.priority = ReadPriority(
+        reader, owner == owners.end() ? Priority::kNormal : owner->priority);
+    model.latency.first_token = std::chrono::milliseconds(
+        reader.Whole("first_token_ms", 1100, 1, 600'000));
+    model.latency.between_tokens = std::chrono::milliseconds(
+        reader.Whole("between_tokens_ms", 42, 1, 600'000));
+    const std::uint64_t adapters = reader.Whole("adapters", 0, 0, 10'000);
+    const Bytes adapter_bytes =
+        reader.Size("adapter_mb", kMegabyte, adapters != 0);
+    for (const std::string& name : GroupNames(reader)) {
+      model.id = ModelId(name);
+      model.adapters.clear();
+      for (std::uint64_t i = 1; i <= adapters; ++i) {
+        model.adapters.push_back(
+            {AdapterId(name + "-adapter-" + std::to_string(i)), adapter_bytes});
+      }
+      reader.SetPath("models[" + std::to_string(configuration.models.size()) +
+                     "]");
+      configuration.models.push_back(model);
+    }
+  });
+}
+
+void ReadServices(TableReader& form, Configuration& configuration) {
+  form.Tables("services", [&](TableReader& reader) {
+    reader.SetPath("services[" + std::to_string(configuration.services.size()) +
+                   "]");
+    ServiceConfig service;
+    service.id = ServiceId(reader.Id());
+    service.home_region = RegionId(reader.Text("home_region", ""));
+    service.shards =
+        static_cast<std::uint32_t>(reader.Whole("shards", 1, 1, 1024));
+    for (const std::string& name : reader.Texts("idempotent")) {
+      service.operations.push_back({OperationId(name), true});
+    }
+    for (const std::string& name : reader.Texts("once")) {
+      service.operations.push_back({OperationId(name), false});
+    }
+    if (service.operations.empty()) {
+      reader.Notes().Note(reader.Line(),
+                          "service '" + service.id.value + "' has no operation",
+                          "list its operations under idempotent or once");
+    }
+    configuration.services.push_back(std::move(service));
+  });
+}
+
+struct Place {
+  RegionId region;
+  DataCentreId data_centre;
+};
+
+// Takes one data centre of each region in turn, so that a group without a list
+// is spread evenly over regions.
+std::vector<Place> AllPlaces(const Configuration& configuration) {
+  std::vector<Place> places;
+  for (std::size_t i = 0;; ++i) {
+    const std::size_t before = places.size();
+    for (const RegionConfig& region : configuration.regions) {
+      if (i < region.data_centres.size()) {
+        places.push_back({region.id, region.data_centres[i]});
+      }
+    }
+    if (places.size() == before) {
+      return places;
+    }
+  }
+}
+
+std::vector<Place> PlacesOf(TableReader& reader,
+                            const std::vector<Place>& all) {
+  const std::vector<std::string> names = reader.Texts("data_centres");
+  if (names.empty()) {
+    return all;
+  }
+  std::vector<Place> places;
+  for (const std::string& name : names) {
+    const auto found =
+        std::ranges::find(all, DataCentreId(name), &Place::data_centre);
+    if (found == all.end()) {
+      reader.Notes().Note(reader.LineOfKey("data_centres"),
+                          "'" + name + "' is not a data centre",
+                          "use a data centre of a region of this form");
+      continue;
+    }
+    places.push_back(*found);
+  }
+  return places;
+}
+
+void ReadTargets(TableReader& form, Configuration& configuration) {
+  const std::vector<Place> all = AllPlaces(configuration);
+  form.Tables("targets", [&](TableReader& reader) {
+    TargetConfig target;
+    target.service = ServiceId(reader.Text("service", ""));
+    const bool is_service = !target.service.IsEmpty();
+    target.kind = is_service ? TargetKind::kService : TargetKind::kModels;
+    target.accelerators = static_cast<std::uint32_t>(
+        reader.Whole("accelerators", is_service ? 0 : 1, 0, 64));
+    target.memory_bytes =
+        reader.Size("memory_gb", kGigabyte, !is_service) * target.accelerators;
+    target.checks_fencing = reader.Flag("checks_fencing", false);
+    const std::vector<Place> places = PlacesOf(reader, all);
+    std::size_t next = 0;
+    for (const std::string& name : GroupNames(reader)) {
+      if (places.empty()) {
+        continue;
+      }
+      target.id = TargetId(name);
+      target.region = places[next % places.size()].region;
+      target.data_centre = places[next % places.size()].data_centre;
+      ++next;
+      reader.SetPath("targets[" + std::to_string(configuration.targets.size()) +
+                     "]");
+      configuration.targets.push_back(target);
+    }
+  });
+}
+
+// Finds what a name of an owner's list stands for; `name-*` is a prefix.
+template <typename Id, typename Items>
+std::vector<Id> Resolve(const std::vector<std::string>& names,
+                        const Items& items,
+                        std::size_t line,
+                        std::string_view kind,
+                        Report& report) {
+  std::vector<Id> ids;
+  for (const std::string& name : names) {
+    const bool is_prefix = name.ends_with("-*");
+    const std::string stem = name.substr(0, name.size() - (is_prefix ? 1 : 0));
+    const std::size_t before = ids.size();
+    for (const auto& item : items) {
+      const std::string& id = item.id.value;
+      if (is_prefix ? id.starts_with(stem) : id == name) {
+        ids.push_back(item.id);
+      }
+    }
+    if (ids.size() == before) {
+      report.Note(line, "'" + name + "' stands for no " + std::string(kind),
+                  "use an id, or name-* for a group");
+    }
+  }
+  return ids;
+}
+
+void CheckServices(const Configuration& configuration, Report& report) {
+  std::size_t index = 0;
+  for (const ServiceConfig& service : configuration.services) {
+    const std::size_t line =
+        report.LineOfPath("services[" + std::to_string(index++) + "]");
+    const bool has_target =
+        std::ranges::any_of(configuration.targets, [&](const auto& target) {
+          return target.service == service.id &&
+                 target.region == service.home_region;
+        });
+    if (!has_target) {
+      report.Note(
+          line,
+          "service '" + service.id.value + "' has no target in its home region",
+          "add [[targets]] with service = \"" + service.id.value + "\" there");
+    }
+  }
+}
+
+void CheckParts(const Configuration& configuration, Report& report) {
+  const auto need = [&](bool is_there, std::string_view part) {
+    if (!is_there) {
+      report.Note(1, "there are no " + std::string(part),
+                  "add [[" + std::string(part) + "]]");
+    }
+  };
+  need(!configuration.regions.empty(), "regions");
+  need(!configuration.owners.empty(), "owners");
+  need(!configuration.targets.empty(), "targets");
+  need(!configuration.models.empty() || !configuration.services.empty(),
+       "models");
+}
+
+void NoteAll(const std::vector<ConfigError>& errors, Report& report) {
+  for (const ConfigError& error : errors) {
+    const std::size_t dot = error.path.rfind('.');
+    const std::string name =
+        dot == std::string::npos ? "" : error.path.substr(dot + 1) + " ";
+    report.Note(report.LineOfPath(error.path), name + error.problem,
+                error.remedy);
+  }
+}
+
+std::vector<ConfigError> DocumentErrors(const Configuration& configuration) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::vector<ConfigError>> {
+        BOOST_LEAF_CHECK(ParseConfiguration(ToJson(configuration)));
+        return std::vector<ConfigError>();
+      },
+      [](const ConfigErrors& found) { return found.errors; },
+      [] { return std::vector<ConfigError>(); });
+}
+
+void ReadLimits(TableReader& form, Configuration& configuration) {
+  form.Table("log", [&](TableReader& reader) {
+    LogLimits& log = configuration.log;
+    log.appends_per_second = reader.Real("appends_per_second", 300, 1, 100'000);
+    log.retention =
+        std::chrono::hours(reader.Whole("retention_hours", 168, 2, 87'600));
+    log.key_retention =
+        std::chrono::hours(reader.Whole("key_retention_hours", 24, 1, 8'760));
+  });
+  form.Table("store", [&](TableReader& reader) {
+    StoreLimits& store = configuration.store;
+    store.loads_per_second = reader.Real("loads_per_second", 1, 0.001, 10'000);
+    store.parallel_loads = static_cast<std::uint32_t>(
+        reader.Whole("parallel_loads", 1, 1, 10'000));
+    store.parallel_adapter_loads = static_cast<std::uint32_t>(
+        reader.Whole("parallel_adapter_loads", 25, 1, 100'000));
+  });
+}
+
+Configuration ReadForm(const toml::table& table, Report& report) {
+  TableReader form(table, report);
+  Configuration configuration;
+  configuration.deployment = form.Text("deployment", "");
+  configuration.objective = form.Choice<Objective>(
+      "objective", Objective::kAttainment,
+      {{"attainment", Objective::kAttainment}, {"moves", Objective::kMoves}});
+  ReadLimits(form, configuration);
+  ReadRegions(form, configuration);
+  std::vector<OwnerAnswers> owners;
+  ReadOwners(form, configuration, owners);
+  ReadModels(form, configuration, owners);
+  ReadServices(form, configuration);
+  ReadTargets(form, configuration);
+  form.Finish();
+  for (std::size_t i = 0; i < owners.size(); ++i) {
+    configuration.owners[i].models =
+        Resolve<ModelId>(owners[i].models, configuration.models,
+                         owners[i].models_line, "model", report);
+    configuration.owners[i].services =
+        Resolve<ServiceId>(owners[i].services, configuration.services,
+                           owners[i].services_line, "service", report);
+  }
+  return configuration;
+}
+
+}  // namespace
+
+leaf::result<Configuration> Generate(std::string_view form) {
+  const toml::parse_result parsed = toml::parse(form);
+  if (!parsed) {
+    return leaf::new_error(FormErrors{
+        {{parsed.error().source().begin.line,
+          std::string(parsed.error().description()), "write valid TOML"}}});
+  }
+  Report report;
+  Configuration configuration = ReadForm(parsed.table(), report);
+  CheckParts(configuration, report);
+  NoteAll(DocumentErrors(configuration), report);
+  NoteAll(CheckConfiguration(configuration), report);
+  CheckServices(configuration, report);
+  NoteAll(CheckFit(configuration), report);
+  if (!report.errors.empty()) {
+    std::ranges::stable_sort(report.errors, {}, &FormError::line);
+    return leaf::new_error(FormErrors{std::move(report.errors)});
+  }
+  return configuration;
+}
+
+}  // namespace pimentospar
