--- a/include/pimentospar/config_log.h
+++ b/include/pimentospar/config_log.h
@@ -185,7 +185,9 @@
   void Keep(const ConfigRecord& record);
   /// Returns the data of the snapshot if this part completes it.
   std::optional<std::string> Collect(detail::SnapshotRecord part);
-  bool Install(std::string_view data, std::vector<ConfigEvent>& events);
+  bool Install(LogOffset through,
+               std::string_view data,
+               std::vector<ConfigEvent>& events);
   void Commit(detail::ConfigState trial,
               bool is_snapshot,
               std::span<const ConfigRecord* const> fresh);
--- a/src/config_log.cc
+++ b/src/config_log.cc
@@ -133,7 +133,7 @@
   const bool is_known = part->through < this->state->next;
   const LogOffset through = part->through;
   if (std::optional<std::string> data = this->Collect(std::move(*part))) {
-    if (is_known || this->Install(*data, events)) {
+    if (is_known || this->Install(through, *data, events)) {
       this->OnSnapshotComplete(through);
     }
   }
@@ -185,18 +185,15 @@
   }
 }
 
-bool ConfigLog::Install(std::string_view data,
+bool ConfigLog::Install(LogOffset through,
+                        std::string_view data,
                         std::vector<ConfigEvent>& events) {
   std::optional<detail::ConfigState> snapshot = detail::DecodeSnapshot(data);
-  if (!snapshot) {
+  // The header was compared with the own state, so the content must match it.
+  if (!snapshot || snapshot->next.value != through.value + 1) {
     events.emplace_back(SourceRefused{Refusal::kCorrupt, "snapshot content"});
     return false;
   }
-  if (snapshot->next <= this->state->next) {
-    // A state that has judged later records does not go back.
-    events.emplace_back(SourceRefused{Refusal::kOlder, "snapshot"});
-    return false;
-  }
   if (!Extends(*snapshot, *this->state)) {
     events.emplace_back(SourceRefused{Refusal::kOtherChain, "snapshot"});
     return false;
--- a/test/config_log_test.cc
+++ b/test/config_log_test.cc
@@ -195,6 +195,7 @@
   Reader ann(stream, 1);
   Reader ben(stream, 2);
   stream.Append(ann.Document(1));
+  stream.Append(ben.Document(2));
   ann.ReadAll(stream);
   ben.ReadAll(stream);
   const LogOffset won = stream.Append(ann.Change(Weight(5), "ann"));
@@ -209,19 +210,20 @@
   stream.Append(ben.Document(3));
   ben.ReadAll(stream);
   const auto& lines = ben.log.History();
-  BOOST_TEST_REQUIRE(lines.size() == 8U);
-  for (const std::size_t loser : {2, 4}) {
+  BOOST_TEST_REQUIRE(lines.size() == 9U);
+  BOOST_TEST(std::holds_alternative<Overtaken>(lines[1].verdict));
+  for (const std::size_t loser : {3, 5}) {
     const Overtaken* overtaken = std::get_if<Overtaken>(&lines[loser].verdict);
     BOOST_TEST_REQUIRE(overtaken != nullptr);
     BOOST_TEST(overtaken->by.value == won.value);
     BOOST_TEST(overtaken->author == "ann");
   }
-  const Invalid* invalid = std::get_if<Invalid>(&lines[5].verdict);
+  const Invalid* invalid = std::get_if<Invalid>(&lines[6].verdict);
   BOOST_TEST_REQUIRE(invalid != nullptr);
   BOOST_TEST(invalid->errors[0].path == "models[0].owner");
-  BOOST_TEST(std::holds_alternative<Invalid>(lines[6].verdict));
-  BOOST_TEST(std::holds_alternative<Overtaken>(lines[7].verdict));
-  BOOST_TEST(ben.log.Version()->value == 3U);
+  BOOST_TEST(std::holds_alternative<Invalid>(lines[7].verdict));
+  BOOST_TEST(std::holds_alternative<Overtaken>(lines[8].verdict));
+  BOOST_TEST(ben.log.Version()->value == 4U);
 }
 
 // Guards against a change made on a chain that this log never had, such as that
@@ -309,6 +311,12 @@
   BOOST_TEST(WasRefused(events, Refusal::kCorrupt));
   BOOST_TEST(CountOf<SnapshotInstalled>(events) == 1U);
   BOOST_TEST(cold.log.Snapshot() == ann.log.Snapshot());
+  // A header that promises more than its content must not bring back version 0.
+  std::string promise = snapshot[0];
+  promise.replace(promise.find("\"through\":0"), 11, "\"through\":9");
+  const ConfigRecord late{LogOffset{12}, 0, promise};
+  BOOST_TEST(WasRefused(cold.log.OnLogRecords({&late, 1}), Refusal::kCorrupt));
+  BOOST_TEST(cold.log.Snapshot() == ann.log.Snapshot());
   // Without the record before the snapshot the state must stay as it was.
   stream.first = 4;
   Reader lost(stream, 3);
