Put configuration versions in force through the configuration log

Every process serves configSince to its peers; entries have an RPC address for that.

Conclusion: changes are accepted or rejected by one rule in the daemon. Peers are asked once membership is wired.

--- a/schema/agent.capnp
+++ b/schema/agent.capnp
@@ -77,7 +77,17 @@
   serve @0 (request :Request, sink :ChunkSink) -> (outcome :Outcome);
   invoke @1 (invocation :Invocation) -> (outcome :Outcome);
   cancel @2 (attempt :UInt64) -> ();
-  configSince @3 (version :UInt64) -> (version :UInt64, records :List(ConfigRecord));
+  configSince @3 (version :UInt64, hasVersion :Bool) -> (update :ConfigUpdate);
+}
+
+struct ConfigUpdate {
+  # What a peer with a newer configuration sends.
+  from @0 :UInt64;
+  next @1 :UInt64;
+  records @2 :List(ConfigRecord);
+  snapshot @3 :Data;
+  chainHead @4 :Text;
+  oldestNeededMs @5 :Int64;
 }
 
 struct ConfigRecord {
--- a/schema/agent.capnp.h
+++ b/schema/agent.capnp.h
@@ -36,6 +36,7 @@
 CAPNP_DECLARE_SCHEMA(c8a3c31ecc7d0243);
 CAPNP_DECLARE_SCHEMA(e4f1991a44fce5cb);
 CAPNP_DECLARE_SCHEMA(8bb718318aba1252);
+CAPNP_DECLARE_SCHEMA(cadecb8fcb4681a8);
 CAPNP_DECLARE_SCHEMA(dba68ea68d623c2b);
 
 }  // namespace schemas
@@ -291,7 +292,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e4f1991a44fce5cb, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e4f1991a44fce5cb, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -306,7 +307,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8bb718318aba1252, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8bb718318aba1252, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ConfigUpdate {
+  ConfigUpdate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cadecb8fcb4681a8, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1775,6 +1791,8 @@
 
   inline  ::uint64_t getVersion() const;
 
+  inline bool getHasVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1806,6 +1824,9 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
+  inline bool getHasVersion();
+  inline void setHasVersion(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1849,11 +1870,103 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline bool hasUpdate() const;
+  inline  ::pimentospar::wire::ConfigUpdate::Reader getUpdate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::ConfigSinceResults::Builder {
+public:
+  typedef ConfigSinceResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpdate();
+  inline  ::pimentospar::wire::ConfigUpdate::Builder getUpdate();
+  inline void setUpdate( ::pimentospar::wire::ConfigUpdate::Reader value);
+  inline  ::pimentospar::wire::ConfigUpdate::Builder initUpdate();
+  inline void adoptUpdate(::capnp::Orphan< ::pimentospar::wire::ConfigUpdate>&& value);
+  inline ::capnp::Orphan< ::pimentospar::wire::ConfigUpdate> disownUpdate();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::ConfigSinceResults::Pipeline {
+public:
+  typedef ConfigSinceResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pimentospar::wire::ConfigUpdate::Pipeline getUpdate();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ConfigUpdate::Reader {
+public:
+  typedef ConfigUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFrom() const;
+
+  inline  ::uint64_t getNext() const;
 
   inline bool hasRecords() const;
   inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline bool hasSnapshot() const;
+  inline  ::capnp::Data::Reader getSnapshot() const;
+
+  inline bool hasChainHead() const;
+  inline  ::capnp::Text::Reader getChainHead() const;
+
+  inline  ::int64_t getOldestNeededMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1866,9 +1979,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::ConfigSinceResults::Builder {
+class ConfigUpdate::Builder {
 public:
-  typedef ConfigSinceResults Builds;
+  typedef ConfigUpdate Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1882,8 +1995,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+  inline  ::uint64_t getNext();
+  inline void setNext( ::uint64_t value);
 
   inline bool hasRecords();
   inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
@@ -1892,6 +2008,23 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline bool hasSnapshot();
+  inline  ::capnp::Data::Builder getSnapshot();
+  inline void setSnapshot( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initSnapshot(unsigned int size);
+  inline void adoptSnapshot(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownSnapshot();
+
+  inline bool hasChainHead();
+  inline  ::capnp::Text::Builder getChainHead();
+  inline void setChainHead( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChainHead(unsigned int size);
+  inline void adoptChainHead(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChainHead();
+
+  inline  ::int64_t getOldestNeededMs();
+  inline void setOldestNeededMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1902,9 +2035,9 @@
 };
 
 #if !CAPNP_LITE
-class Agent::ConfigSinceResults::Pipeline {
+class ConfigUpdate::Pipeline {
 public:
-  typedef ConfigSinceResults Pipelines;
+  typedef ConfigUpdate Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3280,54 +3413,203 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Agent::ConfigSinceResults::Reader::getVersion() const {
+inline bool Agent::ConfigSinceParams::Reader::getHasVersion() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Agent::ConfigSinceParams::Builder::getHasVersion() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Agent::ConfigSinceParams::Builder::setHasVersion(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Agent::ConfigSinceResults::Reader::hasUpdate() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::ConfigSinceResults::Builder::hasUpdate() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pimentospar::wire::ConfigUpdate::Reader Agent::ConfigSinceResults::Reader::getUpdate() const {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::ConfigUpdate>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pimentospar::wire::ConfigUpdate::Builder Agent::ConfigSinceResults::Builder::getUpdate() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::ConfigUpdate>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pimentospar::wire::ConfigUpdate::Pipeline Agent::ConfigSinceResults::Pipeline::getUpdate() {
+  return  ::pimentospar::wire::ConfigUpdate::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::ConfigSinceResults::Builder::setUpdate( ::pimentospar::wire::ConfigUpdate::Reader value) {
+  ::capnp::_::PointerHelpers< ::pimentospar::wire::ConfigUpdate>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pimentospar::wire::ConfigUpdate::Builder Agent::ConfigSinceResults::Builder::initUpdate() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::ConfigUpdate>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::ConfigSinceResults::Builder::adoptUpdate(
+    ::capnp::Orphan< ::pimentospar::wire::ConfigUpdate>&& value) {
+  ::capnp::_::PointerHelpers< ::pimentospar::wire::ConfigUpdate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pimentospar::wire::ConfigUpdate> Agent::ConfigSinceResults::Builder::disownUpdate() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::ConfigUpdate>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ConfigUpdate::Reader::getFrom() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Agent::ConfigSinceResults::Builder::getVersion() {
+inline  ::uint64_t ConfigUpdate::Builder::getFrom() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Agent::ConfigSinceResults::Builder::setVersion( ::uint64_t value) {
+inline void ConfigUpdate::Builder::setFrom( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Agent::ConfigSinceResults::Reader::hasRecords() const {
+inline  ::uint64_t ConfigUpdate::Reader::getNext() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigUpdate::Builder::getNext() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ConfigUpdate::Builder::setNext( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigUpdate::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::ConfigSinceResults::Builder::hasRecords() {
+inline bool ConfigUpdate::Builder::hasRecords() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader Agent::ConfigSinceResults::Reader::getRecords() const {
+inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader ConfigUpdate::Reader::getRecords() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder Agent::ConfigSinceResults::Builder::getRecords() {
+inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder ConfigUpdate::Builder::getRecords() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::ConfigSinceResults::Builder::setRecords( ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void ConfigUpdate::Builder::setRecords( ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder Agent::ConfigSinceResults::Builder::initRecords(unsigned int size) {
+inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder ConfigUpdate::Builder::initRecords(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Agent::ConfigSinceResults::Builder::adoptRecords(
+inline void ConfigUpdate::Builder::adoptRecords(
     ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>> Agent::ConfigSinceResults::Builder::disownRecords() {
+inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>> ConfigUpdate::Builder::disownRecords() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool ConfigUpdate::Reader::hasSnapshot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigUpdate::Builder::hasSnapshot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ConfigUpdate::Reader::getSnapshot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ConfigUpdate::Builder::getSnapshot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ConfigUpdate::Builder::setSnapshot( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ConfigUpdate::Builder::initSnapshot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ConfigUpdate::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ConfigUpdate::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigUpdate::Reader::hasChainHead() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigUpdate::Builder::hasChainHead() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ConfigUpdate::Reader::getChainHead() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ConfigUpdate::Builder::getChainHead() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ConfigUpdate::Builder::setChainHead( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ConfigUpdate::Builder::initChainHead(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ConfigUpdate::Builder::adoptChainHead(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ConfigUpdate::Builder::disownChainHead() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ConfigUpdate::Reader::getOldestNeededMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ConfigUpdate::Builder::getOldestNeededMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ConfigUpdate::Builder::setOldestNeededMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ConfigRecord::Reader::getOffset() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -12,12 +12,6 @@
       claims(process, this->engine) {}
 
 void Agent::Start() {
-  this->server = std::make_unique<AgentServer>(
-      this->process.rpc,
-      ParseAddress(this->process.settings.rpc_address).value_or(Address{}),
-      *this);
-  LogInfo("listening", {{"purpose", "rpc"},
-                        {"address", ToString(this->server->LocalAddress())}});
   this->claims.Start();
   this->process.Repeat(this->process.settings.state_interval, [this] {
     auto read = this->engine.ReadState();
@@ -70,8 +64,8 @@
   }
 }
 
-ConfigRecords Agent::OnConfigSince(LogOffset) {
-  return {};
+PeerUpdate Agent::OnConfigSince(std::optional<ConfigVersion> version) {
+  return this->process.config_feed.UpdateSince(version);
 }
 
 void Agent::Serve(const ServeRequest& request, AttemptReply& reply) {
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -19,7 +19,7 @@
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
 
-  /// Opens the RPC address. Throws if it cannot be bound.
+  /// Starts to follow the target and the claims streams.
   void Start();
   /// What is missing before the process is ready; empty if nothing.
   [[nodiscard]] std::string Missing() const;
@@ -36,7 +36,7 @@
   bool OnInvoke(Invocation invocation,
                 std::shared_ptr<AttemptReply> reply) override;
   void OnCancel(AttemptId attempt) override;
-  ConfigRecords OnConfigSince(LogOffset from) override;
+  PeerUpdate OnConfigSince(std::optional<ConfigVersion> version) override;
 
  private:
   void Serve(const ServeRequest& request, AttemptReply& reply);
@@ -47,7 +47,6 @@
   Process& process;
   Engine engine;
   ClaimsGuard claims;
-  std::unique_ptr<AgentServer> server;
   mutable std::mutex mutex;
   std::optional<EngineState> state;
   mutable std::uint64_t load_sequence = 0;
--- a/src/control/active_config.h
+++ b/src/control/active_config.h
@@ -11,7 +11,8 @@
 
 /// A configuration version; immutable once in force.
 struct ActiveConfig {
-  Configuration configuration;
+  std::shared_ptr<const Configuration> shared;
+  const Configuration& configuration;
   ConfigVersion version;
 };
 
@@ -28,12 +29,15 @@
 
   /// Replaces the configuration by a newer one; an older or equal version is
   /// ignored.
-  bool Replace(ActiveConfigPtr next) {
+  bool Replace(std::shared_ptr<const Configuration> configuration,
+               ConfigVersion version) {
     const std::lock_guard lock(this->mutex);
-    if (this->active != nullptr && next->version <= this->active->version) {
+    if (this->active != nullptr && version <= this->active->version) {
       return false;
     }
-    this->active = std::move(next);
+    const Configuration& reference = *configuration;
+    this->active = std::make_shared<const ActiveConfig>(
+        ActiveConfig{std::move(configuration), reference, version});
     return true;
   }
 
--- a/src/control/config_feed.cc
+++ b/src/control/config_feed.cc
@@ -1,54 +1,155 @@
 #include "control/config_feed.h"
 
-#include <boost/json.hpp>
-
 #include "net/log_line.h"
 
 namespace pimentospar {
 
 namespace {
 
+constexpr std::string_view kStream = "config";
 constexpr std::size_t kRecordsPerRead = 100;
+// The log numbers the records of a stream from 1; 0 is the base of the first
+// change.
+constexpr LogOffset kFirstOffset{1};
+constexpr std::chrono::seconds kPeerTimeout{5};
+
+std::string_view ToText(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kOlder:
+      return "older";
+    case Refusal::kOtherChain:
+      return "other_chain";
+    case Refusal::kCorrupt:
+      break;
+  }
+  return "corrupt";
+}
+
+// Writes a log line for each event.
+struct EventLogger {
+  void operator()(const ChangeJudged& judged) const {
+    const bool accepted = std::holds_alternative<Accepted>(judged.line.verdict);
+    LogInfo(accepted ? "config_accepted" : "config_rejected",
+            {{"offset", judged.line.offset.value},
+             {"author", judged.line.author},
+             {"base", judged.line.base.value}});
+  }
+  void operator()(const SnapshotInstalled& installed) const {
+    LogInfo("config_snapshot_installed",
+            {{"version", installed.version.value}});
+  }
+  void operator()(const RecordsMissing& missing) const {
+    LogDebug("config_records_missing", {{"expected", missing.expected.value}});
+  }
+  void operator()(const SourceRefused& refused) const {
+    // A peer that lags is no fault.
+    if (refused.refusal != Refusal::kOlder) {
+      LogWarning("config_source_refused", {{"refusal", ToText(refused.refusal)},
+                                           {"detail", refused.detail}});
+    }
+  }
+};
 
 }  // namespace
 
+ConfigFeed::ConfigFeed(control::LogClient& log,
+                       AgentClient& peers,
+                       ConfigHolder& holder,
+                       Metrics& metrics,
+                       const Clock& clock,
+                       RandomSource& random)
+    : log(log),
+      peers(peers),
+      holder(holder),
+      metrics(metrics),
+      clock(clock),
+      config_log(clock, random, {.first_offset = kFirstOffset}) {}
+
 void ConfigFeed::Poll() {
   while (true) {
-    const auto page = this->log.Read("config", this->next, kRecordsPerRead);
+    LogOffset from;
+    {
+      const std::lock_guard lock(this->mutex);
+      from = this->config_log.ReadFrom();
+    }
+    const auto page = this->log.Read(kStream, from, kRecordsPerRead);
     if (!page) {
       return;
     }
     this->holder.NoteLogRead(this->clock.Now());
+    std::vector<ConfigRecord> records;
+    records.reserve(page->records.size());
     for (const control::LogRecord& record : page->records) {
-      this->Apply(record);
+      records.push_back({record.offset, record.time_ms, record.body});
+    }
+    std::vector<ConfigEvent> events;
+    {
+      const std::lock_guard lock(this->mutex);
+      events = this->config_log.OnLogRecords(records);
     }
-    this->next = page->next;
+    this->Report(events);
+    this->PutInForce();
     if (page->records.empty()) {
-      return;
+      break;
     }
   }
+  std::vector<std::string> snapshot;
+  {
+    const std::lock_guard lock(this->mutex);
+    snapshot = this->config_log.SnapshotIfDue();
+  }
+  for (const std::string& body : snapshot) {
+    (void)this->log.Append(kStream, body);
+  }
 }
 
-void ConfigFeed::Apply(const control::LogRecord& record) {
-  boost::json::error_code error;
-  const auto value = boost::json::parse(record.body, error);
-  const auto* object = error ? nullptr : value.if_object();
-  const auto* document =
-      object == nullptr ? nullptr : object->if_contains("document");
-  if (document == nullptr) {
+void ConfigFeed::FetchFrom(const Address& peer) {
+  std::optional<ConfigVersion> version;
+  {
+    const std::lock_guard lock(this->mutex);
+    version = this->config_log.Version();
+  }
+  const auto update =
+      this->peers.ConfigSince(peer, version, this->clock.Now() + kPeerTimeout);
+  if (!update) {
     return;
   }
-  const auto parsed = ParseConfiguration(boost::json::serialize(*document));
-  if (!parsed) {
-    LogWarning("config_invalid", {{"offset", record.offset.value}});
+  std::vector<ConfigEvent> events;
+  {
+    const std::lock_guard lock(this->mutex);
+    events = this->config_log.OnPeerUpdate(*update);
+  }
+  this->Report(events);
+  this->PutInForce();
+}
+
+PeerUpdate ConfigFeed::UpdateSince(std::optional<ConfigVersion> version) const {
+  const std::lock_guard lock(this->mutex);
+  return this->config_log.UpdateSince(version);
+}
+
+void ConfigFeed::Report(std::span<const ConfigEvent> events) {
+  for (const ConfigEvent& event : events) {
+    std::visit(EventLogger{}, event);
+  }
+}
+
+void ConfigFeed::PutInForce() {
+  std::shared_ptr<const Configuration> configuration;
+  std::optional<ConfigVersion> version;
+  {
+    const std::lock_guard lock(this->mutex);
+    configuration = this->config_log.ShareInForce();
+    version = this->config_log.Version();
+  }
+  if (configuration == nullptr || !version ||
+      !this->holder.Replace(std::move(configuration), *version)) {
     return;
   }
-  auto next = std::make_shared<ActiveConfig>();
-  next->configuration = parsed.value();
-  next->version = ConfigVersion{record.offset.value};
-  if (this->holder.Replace(std::move(next))) {
-    this->metrics.Count(Event::kConfigApplied);
-    LogInfo("config_applied", {{"version", record.offset.value}});
+  this->metrics.Count(Event::kConfigApplied);
+  LogInfo("config_in_force", {{"version", version->value}});
+  if (this->on_applied) {
+    this->on_applied(*version);
   }
 }
 
--- a/src/control/config_feed.h
+++ b/src/control/config_feed.h
@@ -1,32 +1,57 @@
 #ifndef SRC_CONTROL_CONFIG_FEED_H_
 #define SRC_CONTROL_CONFIG_FEED_H_
 
+#include <functional>
+#include <mutex>
+
 #include "control/active_config.h"
 #include "control/log_client.h"
 #include "net/metrics.h"
+#include "pimentospar/config_log.h"
+#include "rpc/agent_client.h"
 
 namespace pimentospar {
 
-/// Follows the configuration stream and puts each accepted version in force.
+/// Follows the configuration stream, on the log or through peers, and puts each
+/// accepted version in force. Polls run on the control thread.
 class ConfigFeed {
  public:
+  /// Called when a newer version has come in force.
+  using OnApplied = std::function<void(ConfigVersion)>;
+
   ConfigFeed(control::LogClient& log,
+             AgentClient& peers,
              ConfigHolder& holder,
              Metrics& metrics,
-             const Clock& clock)
-      : log(log), holder(holder), metrics(metrics), clock(clock) {}
+             const Clock& clock,
+             RandomSource& random);
+
+  void SetOnApplied(OnApplied callback) {
+    this->on_applied = std::move(callback);
+  }
 
-  /// Reads what is new on the log; suspends the calling fiber.
+  /// Reads what is new on the log, and appends a snapshot when one is due;
+  /// suspends the calling fiber.
   void Poll();
+  /// Fetches what a peer has that this process has not; suspends the calling
+  /// fiber.
+  void FetchFrom(const Address& peer);
+  /// Returns what a peer needs; may be called from any thread.
+  [[nodiscard]] PeerUpdate UpdateSince(
+      std::optional<ConfigVersion> version) const;
 
  private:
-  void Apply(const control::LogRecord& record);
+  void Report(std::span<const ConfigEvent> events);
+  void PutInForce();
 
   control::LogClient& log;
+  AgentClient& peers;
   ConfigHolder& holder;
   Metrics& metrics;
   const Clock& clock;
-  LogOffset next;
+  OnApplied on_applied;
+  mutable std::mutex mutex;
+  ConfigLog config_log;
 };
 
 }  // namespace pimentospar
--- a/src/control/http_log.cc
+++ b/src/control/http_log.cc
@@ -47,8 +47,9 @@
     if (body == nullptr || !body->is_string()) {
       return std::nullopt;
     }
-    page.records.push_back(
-        {LogOffset{*offset}, std::string(body->get_string())});
+    const auto time_ms = NumberAt(record, "time_ms").value_or(0);
+    page.records.push_back({LogOffset{*offset}, std::string(body->get_string()),
+                            static_cast<std::int64_t>(time_ms)});
   }
   return page;
 }
--- a/src/control/log_client.h
+++ b/src/control/log_client.h
@@ -27,6 +27,8 @@
 struct LogRecord {
   LogOffset offset;
   std::string body;
+  /// Time at which the log took the record, in milliseconds since 1970.
+  std::int64_t time_ms = 0;
 };
 
 /// Part of a stream, in the order of the offsets.
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -58,7 +58,7 @@
 int Run(const Settings& settings, const sigset_t& signals) {
   Process process(settings);
   RoleProcess role(process);
-  process.Start([&role] { return role.Missing(); });
+  process.Start([&role] { return role.Missing(); }, role);
   role.Start();
   LogInfo("started", {{"role", settings.role},
                       {"host", settings.host},
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -32,14 +32,19 @@
           this->clock,
           AddressOf(settings.log_address),
           this->metrics),
-      config_feed(this->log, this->config, this->metrics, this->clock),
+      config_feed(this->log,
+                  this->agents,
+                  this->config,
+                  this->metrics,
+                  this->clock,
+                  this->random),
       attempt_prefix(this->random.Next()) {}
 
 Process::~Process() {
   this->Stop();
 }
 
-void Process::Start(Readiness readiness) {
+void Process::Start(Readiness readiness, AgentHandler& handler) {
   this->readiness = std::move(readiness);
   const HttpLimits limits{
       .header_bytes = static_cast<std::uint32_t>(this->settings.header_bytes),
@@ -56,6 +61,11 @@
           {{"purpose", "operator"},
            {"address",
             ToString(FromEndpoint(this->operator_server->LocalEndpoint()))}});
+  this->rpc_server = std::make_unique<AgentServer>(
+      this->rpc, AddressOf(this->settings.rpc_address), handler);
+  LogInfo("listening",
+          {{"purpose", "rpc"},
+           {"address", ToString(this->rpc_server->LocalAddress())}});
   this->Repeat(this->settings.config_interval,
                [this] { this->config_feed.Poll(); });
 }
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -16,6 +16,7 @@
 #include "net/metrics.h"
 #include "pimentospar/random.h"
 #include "rpc/agent_client.h"
+#include "rpc/agent_server.h"
 #include "rpc/rpc_thread.h"
 
 namespace pimentospar {
@@ -47,8 +48,9 @@
   Process& operator=(const Process&) = delete;
   ~Process();
 
-  /// Opens the operators' address and starts to follow the configuration.
-  void Start(Readiness readiness);
+  /// Opens the addresses for operators and peers and starts to follow the
+  /// configuration.
+  void Start(Readiness readiness, AgentHandler& handler);
 
   /// Runs `step` on the control thread now and then again after each interval
   /// until the end.
@@ -76,18 +78,19 @@
   FiberThread worker;
   FiberThread control;
   control::HttpLog log;
+  ConfigFeed config_feed;
 
  private:
   bool HandleOperator(const std::shared_ptr<HttpExchange>& exchange);
   [[nodiscard]] HttpResponse AnswerOperator(const HttpRequest& request) const;
   [[nodiscard]] std::string StatusJson() const;
 
-  ConfigFeed config_feed;
   Readiness readiness;
   std::atomic<bool> draining = false;
   std::atomic<bool> stopping = false;
   std::atomic<std::uint64_t> attempts = 0;
   std::uint64_t attempt_prefix;
+  std::unique_ptr<AgentServer> rpc_server;
   std::unique_ptr<HttpServer> operator_server;
 };
 
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -74,6 +74,10 @@
   });
 }
 
+PeerUpdate Entry::OnConfigSince(std::optional<ConfigVersion> version) {
+  return this->process.config_feed.UpdateSince(version);
+}
+
 void Entry::StopAccepting() {
   this->server->StopAccepting();
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,7 +11,7 @@
 namespace pimentospar {
 
 /// The role `entry`: takes callers' requests and has agents run them.
-class Entry {
+class Entry final : public AgentHandler {
  public:
   explicit Entry(Process& process);
   Entry(const Entry&) = delete;
@@ -19,6 +19,7 @@
 
   /// Opens the callers' address. Throws if it cannot be bound.
   void Start();
+  PeerUpdate OnConfigSince(std::optional<ConfigVersion> version) override;
   /// Takes no new connections.
   void StopAccepting();
   /// What is missing before the process is ready; empty if nothing.
--- a/src/rpc/agent_client.cc
+++ b/src/rpc/agent_client.cc
@@ -234,42 +234,34 @@
       });
 }
 
-ConfigRecords AgentClient::ConfigSince(const Address& peer,
-                                       LogOffset from,
-                                       TimePoint deadline) {
-  auto promise = std::make_shared<boost::fibers::promise<ConfigRecords>>();
+std::optional<PeerUpdate> AgentClient::ConfigSince(
+    const Address& peer,
+    std::optional<ConfigVersion> version,
+    TimePoint deadline) {
+  using Promise = boost::fibers::promise<std::optional<PeerUpdate>>;
+  auto promise = std::make_shared<Promise>();
   auto future = promise->get_future();
-  const bool taken = this->rpc.TryRun([this, peer, from, promise,
+  const bool taken = this->rpc.TryRun([this, peer, version, promise,
                                        connections = this->connections](
                                           kj::AsyncIoContext& context) {
     auto call =
         connections->Get(context, peer)
-            .then([from, promise](wire::Agent::Client client) {
+            .then([version, promise](wire::Agent::Client client) {
               auto message = client.configSinceRequest();
-              message.setVersion(from.value);
+              message.setHasVersion(version.has_value());
+              message.setVersion(version.value_or(ConfigVersion{}).value);
               return message.send().then(
                   [promise](capnp::Response<wire::Agent::ConfigSinceResults>&&
                                 response) {
-                    ConfigRecords records;
-                    records.version.value = response.getVersion();
-                    for (const auto record : response.getRecords()) {
-                      records.records.push_back(
-                          {LogOffset{record.getOffset()},
-                           WallTime(
-                               std::chrono::milliseconds(record.getTimeMs())),
-                           std::string(reinterpret_cast<const char*>(
-                                           record.getBody().begin()),
-                                       record.getBody().size())});
-                    }
-                    promise->set_value(std::move(records));
+                    promise->set_value(Read(response.getUpdate()));
                   });
             });
-    this->rpc.Detach(
-        call.catch_([promise](kj::Exception&&) { promise->set_value({}); }));
+    this->rpc.Detach(call.catch_(
+        [promise](kj::Exception&&) { promise->set_value(std::nullopt); }));
   });
   if (!taken ||
       future.wait_until(deadline) != boost::fibers::future_status::ready) {
-    return {};
+    return std::nullopt;
   }
   return future.get();
 }
--- a/src/rpc/agent_client.h
+++ b/src/rpc/agent_client.h
@@ -3,10 +3,12 @@
 
 #include <boost/fiber/buffered_channel.hpp>
 #include <memory>
+#include <optional>
 #include <variant>
 
 #include "net/address.h"
 #include "pimentospar/clock.h"
+#include "pimentospar/config_log.h"
 #include "rpc/messages.h"
 #include "rpc/rpc_thread.h"
 
@@ -51,11 +53,12 @@
                                                       Invocation invocation);
   /// Tells the agent that nobody waits for the attempt any more.
   void Cancel(const Address& agent, AttemptId attempt);
-  /// Returns the records of the configuration stream that the peer has from an
-  /// offset on.
-  [[nodiscard]] ConfigRecords ConfigSince(const Address& peer,
-                                          LogOffset from,
-                                          TimePoint deadline);
+  /// Asks a peer for what is newer than a version; nothing if it does not
+  /// answer in time.
+  [[nodiscard]] std::optional<PeerUpdate> ConfigSince(
+      const Address& peer,
+      std::optional<ConfigVersion> version,
+      TimePoint deadline);
 
  private:
   class Connections;
--- a/src/rpc/agent_server.cc
+++ b/src/rpc/agent_server.cc
@@ -26,6 +26,14 @@
   return outcome;
 }
 
+Outcome NoTargetHere(AttemptId attempt) {
+  Outcome outcome;
+  outcome.attempt = attempt;
+  outcome.reason = Reason::kNoTarget;
+  outcome.executed = Executed::kNo;
+  return outcome;
+}
+
 // State of an attempt that its fiber and the RPC thread share.
 class Reply final : public AttemptReply,
                     public std::enable_shared_from_this<Reply> {
@@ -167,20 +175,13 @@
   }
 
   kj::Promise<void> configSince(ConfigSinceContext context) override {
-    const ConfigRecords found = this->handler.OnConfigSince(
-        LogOffset{context.getParams().getVersion()});
-    auto results = context.getResults();
-    results.setVersion(found.version.value);
-    auto records =
-        results.initRecords(static_cast<unsigned>(found.records.size()));
-    unsigned index = 0;
-    for (const ConfigRecordMessage& record : found.records) {
-      auto to = records[index++];
-      to.setOffset(record.offset.value);
-      to.setTimeMs(record.time.time_since_epoch().count());
-      to.setBody({reinterpret_cast<const kj::byte*>(record.body.data()),
-                  record.body.size()});
+    const auto params = context.getParams();
+    std::optional<ConfigVersion> version;
+    if (params.getHasVersion()) {
+      version = ConfigVersion{params.getVersion()};
     }
+    Write(context.getResults().initUpdate(),
+          this->handler.OnConfigSince(version));
     return kj::READY_NOW;
   }
 
@@ -200,6 +201,18 @@
 
 }  // namespace
 
+bool AgentHandler::OnServe(ServeRequest request,
+                           std::shared_ptr<AttemptReply> reply) {
+  reply->Finish(NoTargetHere(request.attempt));
+  return true;
+}
+
+bool AgentHandler::OnInvoke(Invocation invocation,
+                            std::shared_ptr<AttemptReply> reply) {
+  reply->Finish(NoTargetHere(invocation.attempt));
+  return true;
+}
+
 AgentServer::AgentServer(RpcThread& rpc,
                          const Address& address,
                          AgentHandler& handler) {
--- a/src/rpc/agent_server.h
+++ b/src/rpc/agent_server.h
@@ -4,8 +4,10 @@
 #include <atomic>
 #include <boost/fiber/future.hpp>
 #include <memory>
+#include <optional>
 
 #include "net/address.h"
+#include "pimentospar/config_log.h"
 #include "rpc/messages.h"
 #include "rpc/rpc_thread.h"
 
@@ -24,17 +26,18 @@
 };
 
 /// What a process does with the calls of its peers; called on the RPC thread,
-/// must not block.
+/// must not block. A process that runs no target refuses attempts.
 class AgentHandler {
  public:
   virtual ~AgentHandler() = default;
   /// False if the attempt cannot be taken (`ring_full`).
   virtual bool OnServe(ServeRequest request,
-                       std::shared_ptr<AttemptReply> reply) = 0;
+                       std::shared_ptr<AttemptReply> reply);
   virtual bool OnInvoke(Invocation invocation,
-                        std::shared_ptr<AttemptReply> reply) = 0;
-  virtual void OnCancel(AttemptId attempt) = 0;
-  virtual ConfigRecords OnConfigSince(LogOffset from) = 0;
+                        std::shared_ptr<AttemptReply> reply);
+  virtual void OnCancel(AttemptId) {}
+  /// Returns what a peer with this version of the configuration needs.
+  virtual PeerUpdate OnConfigSince(std::optional<ConfigVersion> version) = 0;
 };
 
 /// Serves the RPC interface of a process at its address.
--- a/src/rpc/convert.cc
+++ b/src/rpc/convert.cc
@@ -181,4 +181,34 @@
   return to;
 }
 
+void Write(wire::ConfigUpdate::Builder to, const PeerUpdate& from) {
+  to.setFrom(from.from.value);
+  to.setNext(from.next.value);
+  to.setSnapshot(AsData(from.snapshot));
+  to.setChainHead(from.chain_head);
+  to.setOldestNeededMs(from.oldest_needed_ms);
+  auto records = to.initRecords(static_cast<unsigned>(from.records.size()));
+  unsigned index = 0;
+  for (const ConfigRecord& record : from.records) {
+    auto row = records[index++];
+    row.setOffset(record.offset.value);
+    row.setTimeMs(record.time_ms);
+    row.setBody(AsData(record.body));
+  }
+}
+
+PeerUpdate Read(wire::ConfigUpdate::Reader from) {
+  PeerUpdate to;
+  to.from.value = from.getFrom();
+  to.next.value = from.getNext();
+  to.snapshot = Data(from.getSnapshot());
+  to.chain_head = Text(from.getChainHead());
+  to.oldest_needed_ms = from.getOldestNeededMs();
+  for (const auto record : from.getRecords()) {
+    to.records.push_back({LogOffset{record.getOffset()}, record.getTimeMs(),
+                          Data(record.getBody())});
+  }
+  return to;
+}
+
 }  // namespace pimentospar
--- a/src/rpc/convert.h
+++ b/src/rpc/convert.h
@@ -2,6 +2,7 @@
 #define SRC_RPC_CONVERT_H_
 
 #include "agent.capnp.h"
+#include "pimentospar/config_log.h"
 #include "rpc/messages.h"
 
 namespace pimentospar {
@@ -10,11 +11,13 @@
 void Write(wire::Invocation::Builder to, const Invocation& from);
 void Write(wire::Outcome::Builder to, const Outcome& from);
 void Write(wire::Chunk::Builder to, const ChunkMessage& from);
+void Write(wire::ConfigUpdate::Builder to, const PeerUpdate& from);
 
 [[nodiscard]] ServeRequest Read(wire::Request::Reader from);
 [[nodiscard]] Invocation Read(wire::Invocation::Reader from);
 [[nodiscard]] Outcome Read(wire::Outcome::Reader from);
 [[nodiscard]] ChunkMessage Read(wire::Chunk::Reader from);
+[[nodiscard]] PeerUpdate Read(wire::ConfigUpdate::Reader from);
 
 }  // namespace pimentospar
 
--- a/src/rpc/messages.h
+++ b/src/rpc/messages.h
@@ -5,7 +5,6 @@
 #include <string>
 #include <vector>
 
-#include "pimentospar/clock.h"
 #include "pimentospar/config.h"
 #include "pimentospar/reason.h"
 #include "pimentospar/types.h"
@@ -81,18 +80,6 @@
   std::string finish_reason;
 };
 
-/// A record of the configuration stream as peers pass it on.
-struct ConfigRecordMessage {
-  LogOffset offset;
-  WallTime time;
-  std::string body;
-};
-
-struct ConfigRecords {
-  ConfigVersion version;
-  std::vector<ConfigRecordMessage> records;
-};
-
 }  // namespace pimentospar
 
 #endif  // SRC_RPC_MESSAGES_H_
--- a/support/bench_entry.sh
+++ b/support/bench_entry.sh
@@ -17,12 +17,12 @@
 hosts=$(address_of hosts standin)
 store=127.0.0.1:1
 engine=$(address_of engine standin)
-printf '{"type":"change","id":"%032x","base_version":0,"author":"bench","time":0,"document":
+printf '{"type":"change","id":"%032x","base_version":0,"author":"bench","time":0,"prev_hash":"%064d","document":
 {"regions":[{"id":"r","data_centres":["d"]}],
 "owners":[{"id":"o","token_hashes":["%s"]}],
 "models":[{"id":"m","weight_bytes":400,"owner":"o"}],
 "targets":[{"id":"t","region":"r","data_centre":"d","memory_bytes":1000}]}}' \
-  1 "$(printf '%s' "$caller_token" | sha256sum | cut -d' ' -f1)" |
+  1 0 "$(printf '%s' "$caller_token" | sha256sum | cut -d' ' -f1)" |
   curl -fsS --data-binary @- "http://$log/v1/streams/config/records" >/dev/null
 write_settings agent agent r d t "$engine"
 start_daemon agent
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -61,8 +61,8 @@
 {"id":"booking2","region":"south","data_centre":"south-1","kind":"service","service":"booking"}]}
 JSON
 )
-printf '{"type":"change","id":"%032x","base_version":0,"author":"demo","time":0,"document":%s}' \
-  1 "$document" | curl -fsS --data-binary @- "http://$log/v1/streams/config/records" >/dev/null
+printf '{"type":"change","id":"%032x","base_version":0,"author":"demo","time":0,"prev_hash":"%064d","document":%s}' \
+  1 0 "$document" | curl -fsS --data-binary @- "http://$log/v1/streams/config/records" >/dev/null
 
 rows=()
 add_host() { rows+=("{\"id\":\"$1\",\"role\":\"$2\",\"region\":\"$3\",\"data_centre\":\"$3-1\",\"address\":\"$4\",\"target\":\"$5\",\"state\":\"live\"}"); }
