Add the memory account and the order manager

Orders to one target are decided by OrderManager from typed events. Each intent names the run of the engine, and each order goes out on the connection that carried the newest state read, so that an order of a paused agent cannot reach a restarted engine.

--- /dev/null
+++ b/src/order_log.cc
@@ -0,0 +1,226 @@
+#include <algorithm>
+
+#include "pimentospar/memory_account.h"
+
+// The part of OrderManager that reads and writes stream `target.<target>`.
+
+namespace pimentospar {
+
+namespace {
+
+// With a quarter, an open intent is never older than half the retention.
+constexpr int kRenewalsPerRetention = 4;
+constexpr std::size_t kSettledPerRecord = 64;
+
+}  // namespace
+
+OrderManager::OrderManager(Options options,
+                           const Clock& clock,
+                           RandomSource& random)
+    : options(options), clock(clock), random(random), account(options.memory) {}
+
+OrderActions OrderManager::Finish() {
+  if (!this->superseded) {
+    this->StepEngine();
+    this->StepLog();
+  }
+  return std::exchange(this->actions, {});
+}
+
+OrderActions OrderManager::Start() {
+  this->started = true;
+  return this->Finish();
+}
+
+OrderActions OrderManager::OnTime() {
+  return this->Finish();
+}
+
+OrderActions OrderManager::OnRecords(
+    std::span<const StoredTargetRecord> records,
+    LogOffset next) {
+  this->reading = false;
+  this->log_backoff = {};
+  for (const StoredTargetRecord& stored : records) {
+    if (stored.offset >= this->next_offset && !this->superseded) {
+      this->ApplyRecord(stored);
+    }
+  }
+  this->next_offset = std::max(this->next_offset, next);
+  if (records.empty() && !this->superseded) {
+    this->OnTail();
+  }
+  return this->Finish();
+}
+
+OrderActions OrderManager::OnReadFailed() {
+  this->reading = false;
+  this->log_backoff = this->NextBackoff(this->log_backoff);
+  this->read_not_before = this->clock.Now() + this->log_backoff;
+  return this->Finish();
+}
+
+OrderActions OrderManager::OnAppendAnswered(RecordId id, LogOffset offset) {
+  this->log_backoff = {};
+  // An order follows only after the stream was read up to its intent, since
+  // another epoch may stand before it.
+  this->read_until = std::max(this->read_until, LogOffset{offset.value + 1});
+  if (!this->appends.empty() && this->appends.front().record.id == id) {
+    this->appends.pop_front();
+  }
+  return this->Finish();
+}
+
+OrderActions OrderManager::OnAppendLost(RecordId id) {
+  if (!this->appends.empty() && this->appends.front().record.id == id) {
+    Pending& front = this->appends.front();
+    front.sent = false;
+    front.check_tail = true;
+    this->log_backoff = this->NextBackoff(this->log_backoff);
+    front.not_before = this->clock.Now() + this->log_backoff;
+  }
+  return this->Finish();
+}
+
+void OrderManager::ApplyRecord(const StoredTargetRecord& stored) {
+  const bool valid = this->log.Apply(stored);
+  const RecordId id = stored.record.id;
+  if (!this->appends.empty() && this->appends.front().record.id == id) {
+    this->appends.pop_front();
+  }
+  if (std::holds_alternative<EpochRecord>(stored.record.body)) {
+    if (valid && id == this->epoch_id) {
+      this->token = FencingToken{stored.offset.value};
+      this->epoch_pending = false;
+      this->last_epoch = this->clock.Now();
+      this->state_not_before = {};
+      this->next_state_read = {};
+    } else if (valid && this->token.value != 0) {
+      this->superseded = true;
+      this->actions.emplace_back(Superseded{});
+    }
+    return;
+  }
+  if (const auto* intent = std::get_if<IntentRecord>(&stored.record.body)) {
+    const auto work = this->works.find(intent->intent.order);
+    if (valid && work != this->works.end() &&
+        work->second.stage == Stage::kAnnounced) {
+      work->second.stage = Stage::kReady;
+    }
+    return;
+  }
+  if (const auto* settle = std::get_if<SettleRecord>(&stored.record.body)) {
+    this->ApplySettle(*settle);
+  }
+}
+
+void OrderManager::ApplySettle(const SettleRecord& settle) {
+  for (const OrderId order : settle.orders) {
+    const auto pin = this->pins.find(order);
+    if (pin == this->pins.end()) {
+      continue;
+    }
+    // The order may have taken effect after the last state read was sent.
+    this->MarkChanged(pin->second);
+    this->RemovePin(order);
+  }
+}
+
+void OrderManager::OnTail() {
+  this->last_tail = this->clock.Now();
+  if (!this->appends.empty()) {
+    this->appends.front().check_tail = false;
+  }
+  if (this->token.value == 0 && !this->epoch_pending) {
+    this->QueueEpoch();
+  }
+}
+
+bool OrderManager::MustRead() const {
+  if (this->reading || this->clock.Now() < this->read_not_before) {
+    return false;
+  }
+  const bool taking_over = this->token.value == 0 && !this->epoch_pending;
+  const bool check = !this->appends.empty() && this->appends.front().check_tail;
+  return taking_over || check || this->next_offset < this->read_until ||
+         this->clock.Now() - this->last_tail >= this->options.log_interval;
+}
+
+bool OrderManager::MustRenew() const {
+  if (this->token.value == 0 || this->epoch_pending) {
+    return false;
+  }
+  if (this->clock.Now() - this->last_epoch >=
+      this->options.log_retention / kRenewalsPerRetention) {
+    return true;
+  }
+  // With a newer token the engine refuses the copies that are still under way.
+  return this->options.checks_fencing && this->synced_token == this->token &&
+         std::ranges::any_of(this->account.Charges(), [](const auto& entry) {
+           return entry.second.pinned;
+         });
+}
+
+void OrderManager::QueueAppend(decltype(TargetRecord::body) body) {
+  const RecordId id{this->random.Next(), this->random.Next()};
+  this->appends.push_back({TargetRecord{id, std::move(body)}});
+}
+
+void OrderManager::QueueEpoch() {
+  EpochRecord epoch{this->options.instance};
+  if (this->synced) {
+    this->log.KeepOnly(*this->synced);
+  }
+  for (const auto& [order, intent] : this->log.Open()) {
+    epoch.open_intents.push_back(intent);
+  }
+  if (this->token.value != 0) {
+    epoch.renews = LogOffset{this->token.value};
+  }
+  this->epoch_pending = true;
+  this->QueueAppend(std::move(epoch));
+  this->epoch_id = this->appends.back().record.id;
+}
+
+void OrderManager::StepLog() {
+  if (!this->started) {
+    return;
+  }
+  if (this->MustRenew()) {
+    this->QueueEpoch();
+  }
+  if (!this->to_settle.empty() && this->appends.empty()) {
+    const std::size_t count =
+        std::min(this->to_settle.size(), kSettledPerRecord);
+    const auto end = this->to_settle.begin() + static_cast<long>(count);
+    this->QueueAppend(SettleRecord{{this->to_settle.begin(), end}});
+    this->to_settle.erase(this->to_settle.begin(), end);
+  }
+  if (this->MustRead()) {
+    this->reading = true;
+    this->actions.emplace_back(ReadStream{this->next_offset});
+  }
+  if (this->appends.empty()) {
+    return;
+  }
+  Pending& front = this->appends.front();
+  auto* intent = std::get_if<IntentRecord>(&front.record.body);
+  // An intent with the old epoch would be void after the renewal.
+  const bool renewal_sent =
+      this->epoch_pending &&
+      std::ranges::none_of(this->appends, [this](const Pending& pending) {
+        return pending.record.id == this->epoch_id;
+      });
+  const bool wait = intent != nullptr && renewal_sent;
+  if (front.sent || front.check_tail || wait ||
+      this->clock.Now() < front.not_before) {
+    return;
+  }
+  if (intent != nullptr) {
+    intent->epoch = this->token;
+  }
+  front.sent = true;
+  this->actions.emplace_back(AppendRecord{front.record});
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/test/memory_account_test.cc
@@ -0,0 +1,566 @@
+#define BOOST_TEST_MODULE memory_account
+#include "pimentospar/memory_account.h"
+
+#include <rapidcheck.h>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+
+namespace pimentospar {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Bytes kMemory = 15;
+constexpr Bytes kPool = 3;
+
+Item Weights(const char* id) {
+  return {ItemKind::kWeights, ItemId(id)};
+}
+
+const std::vector<HeldItem>& Catalogue() {
+  static const std::vector<HeldItem> kItems = {
+      {Weights("w3"), 3},
+      {Weights("w4"), 4},
+      {Weights("w5"), 5},
+      {Weights("w6"), 6},
+      {{ItemKind::kAdapter, ItemId("a1")}, 1},
+      {{ItemKind::kAdapter, ItemId("a2")}, 2},
+      {{ItemKind::kAdapter, ItemId("b2")}, 2},
+      {{ItemKind::kRole, ItemId("r1")}, 1},
+      {{ItemKind::kRole, ItemId("r2")}, 2}};
+  return kItems;
+}
+
+// An engine that takes every order without looking at its memory.
+struct Engine {
+  bool checks_fencing = false;
+  EngineState state{Incarnation{1}, {}, kMemory, 0, {}};
+  bool overcommitted = false;
+  std::uint64_t loads = 0;
+
+  void Check() {
+    Bytes sum = 0;
+    Bytes adapters = 0;
+    for (const HeldItem& held : this->state.items) {
+      sum += held.bytes;
+      adapters += held.item.kind == ItemKind::kAdapter ? held.bytes : 0;
+    }
+    this->overcommitted |= sum > kMemory || adapters > kPool;
+  }
+
+  OrderOutcome Take(const Order& order) {
+    if (this->checks_fencing) {
+      if (order.fencing < this->state.fencing) {
+        return OrderOutcome::kFenced;
+      }
+      this->state.fencing = order.fencing;
+    }
+    auto& items = this->state.items;
+    const auto is_it = [&](const HeldItem& h) { return h.item == order.item; };
+    if (order.kind == OrderKind::kUnload) {
+      std::erase_if(items, is_it);
+    } else if (order.kind == OrderKind::kLoad &&
+               std::ranges::none_of(items, is_it)) {
+      items.push_back({order.item, order.bytes});
+      ++this->loads;
+      this->Check();
+      if (order.item.kind == ItemKind::kRole) {
+        std::erase_if(items, [&](const HeldItem& held) {
+          return held.item.kind == ItemKind::kRole && !is_it(held);
+        });
+      }
+    }
+    return OrderOutcome::kDone;
+  }
+
+  void Restart() {
+    this->state.incarnation.value++;
+    this->state.fencing = {};
+    this->state.items.clear();
+  }
+};
+
+struct Agent {
+  std::unique_ptr<OrderManager> manager;
+  std::vector<ItemReport> reports;
+};
+
+struct Message {
+  std::size_t agent;
+  OrderAction action;
+  // Set when the engine has answered a state read.
+  std::optional<EngineState> state;
+};
+
+// Agents, log and engine. Messages wait until a schedule picks them, so that an
+// agent is paused for as long as its messages are not picked.
+struct World {
+  ManualClock clock;
+  SeededRandom random{7};
+  Engine engine;
+  std::vector<TargetRecord> records;
+  std::vector<Agent> agents;
+  std::vector<Message> messages;
+  std::vector<Message> late;
+  bool log_down = false;
+  bool connection_rule = true;
+  OrderManager::Options options;
+
+  explicit World(bool checks_fencing) {
+    this->engine.checks_fencing = checks_fencing;
+    this->options.checks_fencing = checks_fencing;
+    this->options.memory = {kMemory, kPool};
+  }
+
+  std::size_t StartAgent() {
+    this->options.instance = {this->agents.size() + 1};
+    this->agents.push_back({std::make_unique<OrderManager>(
+        this->options, this->clock, this->random)});
+    const std::size_t agent = this->agents.size() - 1;
+    this->Take(agent, this->Manager(agent).Start());
+    return agent;
+  }
+
+  OrderManager& Manager(std::size_t agent) {
+    return *this->agents[agent].manager;
+  }
+
+  void Take(std::size_t agent, OrderActions actions) {
+    for (OrderAction& action : actions) {
+      if (auto* report = std::get_if<ItemReport>(&action)) {
+        this->agents[agent].reports.push_back(*report);
+      } else if (!std::holds_alternative<Superseded>(action)) {
+        this->messages.push_back({agent, std::move(action)});
+      }
+    }
+  }
+
+  [[nodiscard]] bool Reaches(ConnectionId connection) const {
+    return !this->connection_rule ||
+           connection.value == this->engine.state.incarnation.value;
+  }
+
+  LogOffset Land(const TargetRecord& record) {
+    this->records.push_back(record);
+    return {this->records.size() - 1};
+  }
+
+  // Carries out one message; `fault` is 0 for none.
+  void Run(std::size_t index, unsigned fault) {
+    Message message = std::move(this->messages[index]);
+    this->messages.erase(this->messages.begin() + static_cast<long>(index));
+    OrderManager& manager = this->Manager(message.agent);
+    OrderActions next;
+    if (const auto* append = std::get_if<AppendRecord>(&message.action)) {
+      if (this->log_down || fault == 1) {
+        this->late.push_back(message);
+        next = manager.OnAppendLost(append->record.id);
+      } else {
+        const LogOffset offset = this->Land(append->record);
+        next = fault == 2 ? manager.OnAppendLost(append->record.id)
+                          : manager.OnAppendAnswered(append->record.id, offset);
+      }
+    } else if (const auto* read = std::get_if<ReadStream>(&message.action)) {
+      next = this->log_down || fault == 1 ? manager.OnReadFailed()
+                                          : this->Read(manager, *read);
+    } else if (const auto* send = std::get_if<SendOrder>(&message.action)) {
+      next = manager.OnOrderEnded(send->order.id,
+                                  this->Deliver(message, *send, fault));
+    } else if (message.state) {
+      const StateReadId id = std::get<ReadState>(message.action).read;
+      next = fault == 1
+                 ? manager.OnStateLost(id)
+                 : manager.OnState(
+                       id, ConnectionId{message.state->incarnation.value},
+                       *message.state);
+    } else {
+      message.state = this->engine.state;
+      this->messages.push_back(std::move(message));
+      return;
+    }
+    this->Take(message.agent, std::move(next));
+  }
+
+  OrderActions Read(OrderManager& manager, const ReadStream& read) {
+    std::vector<StoredTargetRecord> batch;
+    std::uint64_t at = read.from.value;
+    for (; at < this->records.size() && batch.size() < 3; ++at) {
+      batch.push_back({LogOffset{at}, this->records[at]});
+    }
+    return manager.OnRecords(batch, LogOffset{at});
+  }
+
+  OrderOutcome Deliver(const Message& message,
+                       const SendOrder& send,
+                       unsigned fault) {
+    if (fault == 1 || fault == 2) {
+      this->late.push_back(message);
+    }
+    if (!this->Reaches(send.connection)) {
+      return fault == 0 ? OrderOutcome::kNotSent : OrderOutcome::kLost;
+    }
+    if (fault == 1) {
+      return OrderOutcome::kLost;
+    }
+    const OrderOutcome outcome = this->engine.Take(send.order);
+    return fault == 0 ? outcome : OrderOutcome::kLost;
+  }
+
+  // Lets a lost append or order arrive after all; orders arrive repeatedly.
+  void Arrive(std::size_t index) {
+    const Message message = this->late[index];
+    if (const auto* append = std::get_if<AppendRecord>(&message.action)) {
+      this->Land(append->record);
+      this->late.erase(this->late.begin() + static_cast<long>(index));
+      return;
+    }
+    const auto& send = std::get<SendOrder>(message.action);
+    if (this->Reaches(send.connection)) {
+      (void)this->engine.Take(send.order);
+    }
+  }
+
+  void Step(unsigned choice) {
+    const unsigned argument = choice / 16;
+    const auto any = [&](const auto& list) { return argument % list.size(); };
+    switch (choice % 16) {
+      case 0:
+        if (argument % 4 == 0 && this->agents.size() < 5) {
+          this->StartAgent();
+        }
+        return;
+      case 1:
+        if (argument % 4 == 0) {
+          this->engine.Restart();
+        } else if (argument % 4 == 1) {
+          this->log_down = !this->log_down;
+        }
+        return;
+      case 2:
+      case 3:
+        if (!this->late.empty()) {
+          this->Arrive(any(this->late));
+        }
+        return;
+      case 4:
+      case 5:
+      case 6: {
+        const std::size_t agent = any(this->agents);
+        const HeldItem& item = Catalogue()[argument / 8 % Catalogue().size()];
+        this->Take(agent, argument / 128 % 3 == 0
+                              ? this->Manager(agent).OnUnloadWanted(item.item)
+                              : this->Manager(agent).OnLoadWanted(item.item,
+                                                                  item.bytes));
+        return;
+      }
+      case 7:
+        this->clock.Advance(argument % 64 == 0
+                                ? Duration(std::chrono::hours(40))
+                                : std::chrono::milliseconds(argument % 1500));
+        for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
+          this->Take(agent, this->Manager(agent).OnTime());
+        }
+        return;
+      default:
+        if (!this->messages.empty()) {
+          // A third of the messages meet a fault.
+          this->Run(any(this->messages), argument / 64 % 6);
+        }
+    }
+  }
+
+  // Carries out everything without faults.
+  void Settle() {
+    this->log_down = false;
+    for (int round = 0; round < 40; ++round) {
+      this->clock.Advance(seconds(1));
+      for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
+        this->Take(agent, this->Manager(agent).OnTime());
+      }
+      for (int steps = 0; !this->messages.empty() && steps < 1000; ++steps) {
+        this->Run(0, 0);
+      }
+    }
+  }
+
+  [[nodiscard]] bool Holds(const Item& item) const {
+    return std::ranges::any_of(
+        this->engine.state.items,
+        [&](const HeldItem& held) { return held.item == item; });
+  }
+
+  // Runs the messages of one agent until it would send an order for a load.
+  void RunUntilOrder(std::size_t agent) {
+    for (int steps = 0; steps < 100; ++steps) {
+      const auto next =
+          std::ranges::find_if(this->messages, [&](const Message& message) {
+            return message.agent == agent && !this->IsLoad(message);
+          });
+      if (next == this->messages.end()) {
+        return;
+      }
+      this->Run(static_cast<std::size_t>(next - this->messages.begin()), 0);
+    }
+  }
+
+  [[nodiscard]] static bool IsLoad(const Message& message) {
+    const auto* send = std::get_if<SendOrder>(&message.action);
+    return send != nullptr && send->order.kind == OrderKind::kLoad;
+  }
+
+  // Starts an agent that is paused just before it sends a load order.
+  std::size_t StartAndPause(const char* item, Bytes bytes) {
+    const std::size_t agent = this->StartAgent();
+    this->RunUntilOrder(agent);
+    this->Take(agent, this->Manager(agent).OnLoadWanted(Weights(item), bytes));
+    this->RunUntilOrder(agent);
+    const auto paused = std::ranges::find_if(this->messages, IsLoad);
+    BOOST_REQUIRE(paused != this->messages.end());
+    this->late.push_back(*paused);
+    this->messages.erase(paused);
+    return agent;
+  }
+};
+
+struct Totals {
+  std::uint64_t loads = 0;
+  std::uint64_t checked = 0;
+  std::uint64_t overcommitted = 0;
+};
+
+constexpr int kSchedulesPerCase = 20;
+
+std::vector<unsigned> Schedule() {
+  return *rc::gen::resize(rc::kNominalSize,
+                          rc::gen::container<std::vector<unsigned>>(
+                              400, rc::gen::inRange(0U, 1U << 16U)));
+}
+
+void RunSchedule(World& world, Totals& totals) {
+  world.StartAgent();
+  for (const unsigned choice : Schedule()) {
+    world.Step(choice);
+    if (world.engine.overcommitted) {
+      ++totals.overcommitted;
+      return;
+    }
+  }
+  totals.loads += world.engine.loads;
+}
+
+void CheckSchedule(World& world, Totals& totals) {
+  RunSchedule(world, totals);
+  RC_ASSERT(!world.engine.overcommitted);
+  // Faults end; then a new agent takes over.
+  world.late.clear();
+  world.Settle();
+  RC_ASSERT(!world.engine.overcommitted);
+  const std::size_t agent = world.StartAgent();
+  world.Settle();
+  OrderManager& manager = world.Manager(agent);
+  RC_ASSERT(manager.IsActive());
+  for (const HeldItem& wanted : Catalogue()) {
+    if (!manager.Account().Fits(wanted.item, wanted.bytes)) {
+      continue;
+    }
+    world.Take(agent, manager.OnLoadWanted(wanted.item, wanted.bytes));
+    world.Settle();
+    RC_ASSERT(world.Holds(wanted.item));
+    RC_ASSERT(!world.engine.overcommitted);
+    ++totals.checked;
+  }
+}
+
+// Guards against overcommitted memory and against an agent that stays stuck
+// after faults, at both kinds of engine.
+BOOST_AUTO_TEST_CASE(SchedulesNeverOvercommit) {
+  for (const bool checks_fencing : {false, true}) {
+    Totals totals;
+    BOOST_TEST(rc::check([&] {
+      for (int count = 0; count < kSchedulesPerCase; ++count) {
+        World world(checks_fencing);
+        CheckSchedule(world, totals);
+      }
+    }));
+    BOOST_TEST(totals.loads > 5000U);
+    BOOST_TEST(totals.checked > 5000U);
+  }
+}
+
+// Guards against schedules too tame to show the fault that the connection rule
+// prevents.
+BOOST_AUTO_TEST_CASE(SchedulesFindOvercommitWithoutConnectionRule) {
+  Totals totals;
+  rc::check([&] {
+    for (int count = 0; count < kSchedulesPerCase; ++count) {
+      World world(false);
+      world.connection_rule = false;
+      RunSchedule(world, totals);
+    }
+  });
+  BOOST_TEST_MESSAGE("overcommitted " << totals.overcommitted);
+  BOOST_TEST(totals.overcommitted > 0U);
+}
+
+// Guards against a successor that gives away memory which the orders of two
+// paused predecessors still take, one after the other.
+BOOST_AUTO_TEST_CASE(ChargesTheOrdersOfTwoPausedPredecessors) {
+  World world(false);
+  world.StartAndPause("w5", 5);
+  world.StartAndPause("w4", 4);
+  const std::size_t third = world.StartAgent();
+  world.Settle();
+  const Item wanted = Weights("w6");
+  world.Take(third, world.Manager(third).OnLoadWanted(wanted, 6));
+  world.Settle();
+  BOOST_REQUIRE(!world.agents[third].reports.empty());
+  BOOST_TEST(
+      (world.agents[third].reports.back().result == ItemResult::kNoMemory));
+  world.Arrive(0);
+  world.Arrive(1);
+  world.Settle();
+  BOOST_TEST(world.Holds(Weights("w5")));
+  world.Take(third, world.Manager(third).OnUnloadWanted(Weights("w5")));
+  BOOST_TEST(
+      (world.agents[third].reports.back().result == ItemResult::kPinned));
+  // The orders end with their connections, so a restart frees the memory.
+  world.engine.Restart();
+  world.Settle();
+  world.Take(third, world.Manager(third).OnLoadWanted(wanted, 6));
+  world.Settle();
+  world.Arrive(0);
+  world.Arrive(1);
+  BOOST_TEST(world.Holds(wanted));
+  BOOST_TEST(!world.engine.overcommitted);
+}
+
+// Guards against a restarted engine, which has forgotten the fencing token,
+// taking orders of a predecessor.
+BOOST_AUTO_TEST_CASE(FencesAgainAfterARestart) {
+  World world(true);
+  world.StartAndPause("w6", 6);
+  const std::size_t second = world.StartAgent();
+  world.Settle();
+  BOOST_TEST((world.engine.state.fencing == world.Manager(second).Token()));
+  world.Arrive(0);
+  BOOST_TEST(!world.Holds(Weights("w6")));
+  world.engine.Restart();
+  world.Settle();
+  BOOST_TEST((world.engine.state.fencing == world.Manager(second).Token()));
+}
+
+// Guards against a pin that stays after a lost answer where a new token can
+// end it.
+BOOST_AUTO_TEST_CASE(RenewsTheEpochAfterALostAnswer) {
+  World world(true);
+  const std::size_t agent = world.StartAndPause("w6", 6);
+  const FencingToken before = world.Manager(agent).Token();
+  const auto& send = std::get<SendOrder>(world.late[0].action);
+  world.Take(agent, world.Manager(agent).OnOrderEnded(send.order.id,
+                                                      OrderOutcome::kLost));
+  BOOST_TEST(world.Manager(agent).Account().Find(Weights("w6"))->pinned);
+  world.Settle();
+  BOOST_TEST((world.Manager(agent).Token() > before));
+  world.Take(agent, world.Manager(agent).OnUnloadWanted(Weights("w6")));
+  world.Settle();
+  world.Arrive(0);
+  BOOST_TEST(!world.Holds(Weights("w6")));
+  BOOST_TEST(world.Manager(agent).Account().Charged() == kPool);
+}
+
+// Guards against an order whose intent landed behind the epoch of a successor.
+BOOST_AUTO_TEST_CASE(DropsAnIntentBehindANewerEpoch) {
+  World world(false);
+  const std::size_t first = world.StartAgent();
+  world.Settle();
+  world.StartAgent();
+  world.RunUntilOrder(1);
+  world.Take(first, world.Manager(first).OnLoadWanted(Weights("w6"), 6));
+  world.RunUntilOrder(first);
+  BOOST_TEST(world.Manager(first).IsSuperseded());
+  BOOST_TEST(std::ranges::none_of(world.messages, World::IsLoad));
+}
+
+// Guards against open intents that the log's retention removes.
+BOOST_AUTO_TEST_CASE(RestatesOpenIntents) {
+  World world(false);
+  world.StartAndPause("w6", 6);
+  const std::size_t second = world.StartAgent();
+  world.Settle();
+  const std::size_t before = world.records.size();
+  world.clock.Advance(world.options.log_retention / 4);
+  world.Settle();
+  BOOST_REQUIRE(world.records.size() > before);
+  // A successor that reads only what is left still charges the item.
+  TargetLog log;
+  for (std::size_t at = before; at < world.records.size(); ++at) {
+    log.Apply({LogOffset{at}, world.records[at]});
+  }
+  BOOST_TEST(log.Open().size() == 1U);
+  BOOST_TEST(!world.Manager(second).IsSuperseded());
+}
+
+// Guards against a repeated append that makes an old agent the owner again.
+BOOST_AUTO_TEST_CASE(IgnoresRepeatedEpochs) {
+  TargetLog log;
+  const TargetRecord first{{1, 1}, EpochRecord{{1}, {}, {}}};
+  const TargetRecord second{{2, 2}, EpochRecord{{2}, {}, {}}};
+  const TargetRecord renewal{{3, 3}, EpochRecord{{1}, {}, LogOffset{0}}};
+  BOOST_TEST(log.Apply({LogOffset{0}, first}));
+  BOOST_TEST(log.Apply({LogOffset{1}, second}));
+  BOOST_TEST(!log.Apply({LogOffset{2}, first}));
+  BOOST_TEST(!log.Apply({LogOffset{3}, renewal}));
+  BOOST_TEST(log.Newest()->offset.value == 1U);
+}
+
+// Guards against a log outage that stops more than it has to, or less.
+BOOST_AUTO_TEST_CASE(MovesDuringALogOutage) {
+  for (const bool checks_fencing : {true, false}) {
+    World world(checks_fencing);
+    const std::size_t agent = world.StartAgent();
+    world.Settle();
+    world.Take(agent, world.Manager(agent).OnLoadWanted(Weights("w3"), 3));
+    world.Settle();
+    world.Take(agent, world.Manager(agent).OnLoadWanted(Weights("w4"), 4));
+    world.Take(agent, world.Manager(agent).OnUnloadWanted(Weights("w3")));
+    for (int step = 0; step < 50; ++step) {
+      world.log_down = true;
+      world.clock.Advance(seconds(1));
+      world.Take(agent, world.Manager(agent).OnTime());
+      for (std::size_t left = world.messages.size(); left > 0; --left) {
+        world.Run(0, 0);
+      }
+    }
+    BOOST_TEST(!world.Holds(Weights("w3")));
+    BOOST_TEST(world.Holds(Weights("w4")) == checks_fencing);
+    world.Settle();
+    BOOST_TEST(world.Holds(Weights("w4")));
+  }
+}
+
+// Guards against charges that miss a part of what is in use: KV cache, the
+// adapter pool, and both states of a role change.
+BOOST_AUTO_TEST_CASE(ChargesAllUses) {
+  MemoryAccount account({kMemory, kPool});
+  const Item old_role{ItemKind::kRole, ItemId("r1")};
+  const Item new_role{ItemKind::kRole, ItemId("r2")};
+  const Item adapter{ItemKind::kAdapter, ItemId("a2")};
+  account.Observe(old_role, 4);
+  BOOST_TEST(account.ReserveKv(5));
+  BOOST_TEST(!account.ReserveKv(9));
+  BOOST_TEST(!account.Intend(new_role, 4));
+  BOOST_TEST(account.Intend(new_role, 3));
+  BOOST_TEST(account.Charged() == kMemory);
+  BOOST_TEST(account.Intend(adapter, 2));
+  BOOST_TEST(account.Charged() == kMemory);
+  BOOST_TEST(!account.Intend({ItemKind::kAdapter, ItemId("b2")}, 2));
+  account.Pin(adapter, 2);
+  account.Release(adapter);
+  BOOST_TEST(account.Find(adapter) != nullptr);
+}
+
+}  // namespace
+}  // namespace pimentospar
