Add membership by gossip

Probes, indirect probes, suspicion with refutation, restarts told apart by instance and incarnation, bounded updates on probes and acknowledgements, summaries between regions and crash reports first.

--- /dev/null
+++ b/src/membership.cc
@@ -0,0 +1,289 @@
+#include "pimentospar/membership.h"
+
+#include <algorithm>
+
+namespace pimentospar {
+
+namespace {
+
+constexpr std::uint64_t kSuspectProbes = 8;
+// Gossip confirms most hints; every n-th probe goes to one that is left.
+constexpr std::uint64_t kHintEvery = 5;
+
+}  // namespace
+
+Membership::Membership(Options options,
+                       const Clock& clock,
+                       RandomSource& random)
+    : options(std::move(options)), clock(clock), random(random) {
+  this->self.address = this->options.address;
+  this->self.instance = this->options.instance;
+  this->self.incarnation = static_cast<std::uint64_t>(
+      this->clock.WallNow().time_since_epoch().count());
+  this->self.payload = this->options.payload;
+  const auto interval =
+      static_cast<std::uint64_t>(this->options.probe_interval.count());
+  this->next_probe = this->clock.Now() + Duration(this->random.Below(interval));
+}
+
+MembershipActions Membership::Finish() {
+  return std::exchange(this->actions, {});
+}
+
+bool Membership::IsLocal(const Member& member) const {
+  return member.update.payload.region == this->self.payload.region;
+}
+
+unsigned Membership::SendLimit() const {
+  unsigned bits = 1;
+  for (std::size_t count = this->members.size(); count > 0; count /= 2) {
+    ++bits;
+  }
+  return 3 * bits;
+}
+
+const MemberUpdate* Membership::Find(const MemberAddress& address) const {
+  const auto found = this->members.find(address);
+  return found == this->members.end() ? nullptr : &found->second.update;
+}
+
+std::vector<MemberUpdate> Membership::Members() const {
+  std::vector<MemberUpdate> list;
+  for (const auto& [address, member] : this->members) {
+    if (this->IsLocal(member) && member.update.instance.value != 0 &&
+        member.update.state != MemberState::kDead) {
+      list.push_back(member.update);
+    }
+  }
+  return list;
+}
+
+void Membership::SetLoad(const LoadSummary& load) {
+  this->self.payload.load = load;
+  this->payload_changed = true;
+}
+
+void Membership::SetModels(std::vector<ModelId> models) {
+  models.resize(std::min(models.size(), kMaxModelsPerMember));
+  this->self.payload.models = std::move(models);
+  this->self.payload.models_sequence++;
+  this->payload_changed = true;
+}
+
+MembershipActions Membership::OnHint(const MemberAddress& address,
+                                     const RegionId& region) {
+  if (address == this->self.address || this->members.contains(address) ||
+      this->members.size() >= this->options.max_members) {
+    return this->Finish();
+  }
+  Member member;
+  member.update.address = address;
+  member.update.payload.region = region;
+  member.state_since = this->clock.Now();
+  member.heard = this->clock.Now();
+  member.sent = this->SendLimit();
+  this->members.emplace(address, std::move(member));
+  return this->Finish();
+}
+
+MembershipActions Membership::Leave() {
+  this->self.state = MemberState::kLeaving;
+  this->self.incarnation++;
+  for (const MemberAddress& to : this->Draw(this->Candidates(false, false),
+                                            this->options.leave_notices)) {
+    this->Send(to, this->NewMessage(to, LeaveNotice{}));
+  }
+  return this->Finish();
+}
+
+MembershipActions Membership::OnTime() {
+  const TimePoint now = this->clock.Now();
+  for (OpenProbe& open : this->open_probes) {
+    if (!open.asked_others && now >= open.direct_until) {
+      this->AskOthers(open);
+    }
+  }
+  this->EndProbes();
+  std::erase_if(this->relayed, [now](const RelayedProbe& relay) {
+    return now >= relay.until;
+  });
+  if (now >= this->next_probe) {
+    this->AgeMembers();
+    // A process that was paused does not make up for missed probes.
+    this->next_probe = now + this->options.probe_interval;
+    this->StartProbe();
+  }
+  return this->Finish();
+}
+
+std::vector<MemberAddress> Membership::Candidates(bool remote,
+                                                  bool dead) const {
+  std::vector<MemberAddress> list;
+  for (const auto& [address, member] : this->members) {
+    if (this->IsLocal(member) != remote &&
+        (member.update.state == MemberState::kDead) == dead) {
+      list.push_back(address);
+    }
+  }
+  return list;
+}
+
+std::vector<MemberAddress> Membership::Draw(std::vector<MemberAddress> from,
+                                            std::size_t count) {
+  count = std::min(count, from.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(from[i], from[i + this->random.Below(from.size() - i)]);
+  }
+  from.resize(count);
+  return from;
+}
+
+std::vector<MemberAddress> Membership::Hints() const {
+  std::vector<MemberAddress> list;
+  for (const auto& [address, member] : this->members) {
+    if (this->IsLocal(member) && member.update.instance.value == 0) {
+      list.push_back(address);
+    }
+  }
+  return list;
+}
+
+void Membership::StartProbe() {
+  ++this->probes;
+  const unsigned turn =
+      static_cast<unsigned>(this->probes % this->options.remote_every);
+  std::vector<MemberAddress> drawn = this->DrawSuspect();
+  if (!drawn.empty()) {
+    this->SendProbe(drawn.front());
+    return;
+  }
+  if (turn == 0) {
+    drawn = this->Draw(this->Candidates(true, false), 1);
+  } else if (turn == this->options.remote_every / 2) {
+    drawn = this->Draw(this->Candidates(false, true), 1);
+  } else if (this->probes % kHintEvery == 1) {
+    drawn = this->Draw(this->Hints(), 1);
+  }
+  if (drawn.empty()) {
+    drawn = this->Draw(this->Candidates(false, false), 1);
+  }
+  if (drawn.empty()) {
+    drawn = this->Draw(this->Candidates(false, true), 1);
+  }
+  if (!drawn.empty()) {
+    this->SendProbe(drawn.front());
+  }
+}
+
+// All members together send a suspect `kSuspectProbes` probes a second, so that
+// it learns of the suspicion in time whatever the number of members.
+std::vector<MemberAddress> Membership::DrawSuspect() {
+  std::vector<MemberAddress> suspects;
+  std::size_t local = 0;
+  for (const auto& [address, member] : this->members) {
+    if (this->IsLocal(member)) {
+      ++local;
+      if (member.update.state == MemberState::kSuspect) {
+        suspects.push_back(address);
+      }
+    }
+  }
+  if (suspects.empty() || this->random.Below(local) >= kSuspectProbes) {
+    return {};
+  }
+  return this->Draw(std::move(suspects), 1);
+}
+
+void Membership::SendProbe(const MemberAddress& to) {
+  if (this->payload_changed) {
+    this->payload_changed = false;
+    this->self.incarnation++;
+  }
+  OpenProbe open{ProbeId{this->probes}, to};
+  open.remote = !this->IsLocal(this->members.at(to));
+  open.direct_until =
+      this->clock.Now() + (open.remote ? this->options.remote_probe_timeout
+                                       : this->options.probe_timeout);
+  GossipMessage message = this->NewMessage(to, Probe{open.id});
+  this->Fill(to, message, kMaxDatagramBytes);
+  open.until = this->clock.Now() + this->options.slow_answer;
+  open.summary = message.summary;
+  this->open_probes.push_back(std::move(open));
+  this->actions.emplace_back(SendGossip{to, std::move(message)});
+}
+
+void Membership::AskOthers(OpenProbe& open) {
+  open.asked_others = true;
+  const MemberUpdate* target = this->Find(open.target);
+  if (open.remote || target == nullptr || target->state == MemberState::kDead) {
+    return;
+  }
+  std::vector<MemberAddress> others = this->Candidates(false, false);
+  std::erase(others, open.target);
+  for (const MemberAddress& to :
+       this->Draw(std::move(others), this->options.indirect_probes)) {
+    this->Send(to, this->NewMessage(to, IndirectProbe{open.id, open.target}));
+  }
+}
+
+void Membership::EndProbes() {
+  const TimePoint now = this->clock.Now();
+  while (!this->open_probes.empty() && now >= this->open_probes.front().until) {
+    const OpenProbe open = this->open_probes.front();
+    this->open_probes.erase(this->open_probes.begin());
+    this->Suspect(open);
+  }
+}
+
+void Membership::Suspect(const OpenProbe& open) {
+  const auto found = this->members.find(open.target);
+  // Contacts in other regions are only tried again: a cut link must not make
+  // a region of members dead. A hint was never known to be alive.
+  if (found == this->members.end() || open.remote ||
+      found->second.update.instance.value == 0) {
+    return;
+  }
+  Member& member = found->second;
+  if (member.update.state == MemberState::kAlive) {
+    this->SetState(member, MemberState::kSuspect);
+    // The suspect can refute only what it knows.
+    ++this->probes;
+    this->SendProbe(open.target);
+  } else if (member.update.state == MemberState::kLeaving) {
+    this->SetState(member, MemberState::kDead);
+  }
+}
+
+void Membership::AgeMembers() {
+  const TimePoint now = this->clock.Now();
+  for (auto& [address, member] : this->members) {
+    if (member.update.state == MemberState::kSuspect &&
+        now - member.state_since >= this->options.suspicion) {
+      this->SetState(member, MemberState::kDead);
+    }
+  }
+  std::erase_if(this->members, [&](const auto& entry) {
+    const Member& member = entry.second;
+    const bool unseen = member.update.state == MemberState::kDead ||
+                        member.update.instance.value == 0 ||
+                        !this->IsLocal(member);
+    return unseen && now - member.heard >= this->options.forget_after &&
+           now - member.state_since >= this->options.forget_after;
+  });
+}
+
+void Membership::SetState(Member& member, MemberState state) {
+  member.update.state = state;
+  member.state_since = this->clock.Now();
+  this->NoteChange(member, true);
+}
+
+void Membership::NoteChange(Member& member, bool urgent) {
+  // A change of load must not push back one of state that still spreads.
+  member.urgent = urgent || (member.urgent && member.sent < this->SendLimit());
+  member.sent = 0;
+  member.changed = ++this->changes;
+  this->actions.emplace_back(MemberChanged{member.update});
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/membership_messages.cc
@@ -0,0 +1,373 @@
+#include <algorithm>
+
+#include "pimentospar/membership.h"
+
+// The part of Membership that reads and fills datagrams.
+
+namespace pimentospar {
+
+namespace {
+
+// A report of the same strikes counts as news after this time.
+constexpr std::chrono::minutes kCrashRepeat{1};
+constexpr std::chrono::seconds kRelayTime{1};
+constexpr std::size_t kMaxRelays = 64;
+constexpr std::size_t kMaxUpdatesPerMessage = 64;
+constexpr std::size_t kOthersPerMessage = 4;
+
+bool IsNewer(const MemberUpdate& update, const MemberUpdate& known) {
+  if (update.incarnation != known.incarnation) {
+    return update.incarnation > known.incarnation;
+  }
+  if (update.instance != known.instance) {
+    return update.instance > known.instance;
+  }
+  const auto rank = [](MemberState state) {
+    // A suspicion must not undo `leaving`.
+    constexpr int kRank[] = {0, 1, 2, 3};
+    return kRank[static_cast<int>(state)];
+  };
+  return rank(update.state) > rank(known.state);
+}
+
+bool IsOlder(std::uint64_t incarnation,
+             InstanceId instance,
+             const MemberUpdate& known) {
+  return known.instance != instance &&
+         (incarnation < known.incarnation ||
+          (incarnation == known.incarnation && instance < known.instance));
+}
+
+}  // namespace
+
+GossipMessage Membership::NewMessage(const MemberAddress& to,
+                                     decltype(GossipMessage::body) body) const {
+  GossipMessage message;
+  message.from = this->self.address;
+  message.instance = this->self.instance;
+  message.incarnation = this->self.incarnation;
+  message.region = this->self.payload.region;
+  message.config_version = this->config_version;
+  message.body = body;
+  if (const MemberUpdate* known = this->Find(to)) {
+    message.to_instance = known->instance;
+  }
+  return message;
+}
+
+void Membership::Send(const MemberAddress& to, GossipMessage message) {
+  this->Fill(to, message,
+             std::holds_alternative<Ack>(message.body) ? kMaxAckBytes
+                                                       : kMaxDatagramBytes);
+  this->actions.emplace_back(SendGossip{to, std::move(message)});
+}
+
+void Membership::Fill(const MemberAddress& to,
+                      GossipMessage& message,
+                      std::size_t limit) {
+  this->FillCrashes(message, limit);
+  const auto add = [&](const MemberUpdate& update) {
+    if (EstimateBytes(message) + EstimateBytes(update) <= limit) {
+      message.updates.push_back(update);
+    }
+  };
+  add(this->self);
+  const auto found = this->members.find(to);
+  if (found == this->members.end()) {
+    return;
+  }
+  if (!this->IsLocal(found->second)) {
+    if (std::holds_alternative<Probe>(message.body)) {
+      this->FillSummary(found->second.update.payload.region, message, limit);
+    }
+    return;
+  }
+  // A member must learn what is held against it to refute it.
+  if (found->second.update.state == MemberState::kSuspect ||
+      found->second.update.state == MemberState::kDead) {
+    add(found->second.update);
+  }
+  this->FillUpdates(message, limit);
+  if (std::holds_alternative<Probe>(message.body)) {
+    this->FillOthers(message, limit);
+  }
+}
+
+// Fills the room that is left, so that a member that missed an update while it
+// spread learns it later.
+void Membership::FillOthers(GossipMessage& message, std::size_t limit) {
+  std::size_t bytes = EstimateBytes(message);
+  for (const MemberAddress& address :
+       this->Draw(this->Candidates(false, false), kOthersPerMessage)) {
+    const MemberUpdate& update = this->members.at(address).update;
+    const bool present = std::ranges::any_of(
+        message.updates,
+        [&](const MemberUpdate& other) { return other.address == address; });
+    const std::size_t more = EstimateBytes(update);
+    if (!present && update.instance.value != 0 && bytes + more <= limit) {
+      bytes += more;
+      message.updates.push_back(update);
+    }
+  }
+}
+
+void Membership::FillCrashes(GossipMessage& message, std::size_t limit) {
+  for (auto& [fingerprint, crash] : this->crashes) {
+    if (crash.sent >= this->SendLimit()) {
+      continue;
+    }
+    message.crashes.push_back(crash.report);
+    if (EstimateBytes(message) > limit) {
+      message.crashes.pop_back();
+      return;
+    }
+    message.crashes.back().age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            this->clock.Now() - crash.last);
+    ++crash.sent;
+  }
+}
+
+void Membership::FillUpdates(GossipMessage& message, std::size_t limit) {
+  std::vector<Member*> news;
+  for (auto& [address, member] : this->members) {
+    if (this->IsLocal(member) && member.sent < this->SendLimit() &&
+        member.update.instance.value != 0) {
+      news.push_back(&member);
+    }
+  }
+  std::ranges::sort(news, [](const Member* a, const Member* b) {
+    return std::pair(a->urgent, a->changed) > std::pair(b->urgent, b->changed);
+  });
+  std::size_t bytes = EstimateBytes(message);
+  for (Member* member : news) {
+    const std::size_t more = EstimateBytes(member->update);
+    if (message.updates.size() >= kMaxUpdatesPerMessage ||
+        bytes + more > limit) {
+      return;
+    }
+    bytes += more;
+    message.updates.push_back(member->update);
+    ++member->sent;
+  }
+}
+
+std::map<ModelId, std::uint32_t> Membership::CountCopies() const {
+  std::map<ModelId, std::uint32_t> counts;
+  const auto add = [&](const MemberUpdate& update) {
+    for (const ModelId& model : update.payload.models) {
+      if (counts.size() < this->options.max_models || counts.contains(model)) {
+        ++counts[model];
+      }
+    }
+  };
+  add(this->self);
+  for (const auto& [address, member] : this->members) {
+    if (this->IsLocal(member) && member.update.state != MemberState::kDead) {
+      add(member.update);
+    }
+  }
+  return counts;
+}
+
+void Membership::FillSummary(const RegionId& to,
+                             GossipMessage& message,
+                             std::size_t limit) {
+  auto counts = this->CountCopies();
+  const auto& told = this->told_copies[to];
+  for (const auto& [model, count] : told) {
+    counts.try_emplace(model, 0);
+  }
+  message.summary = RegionSummary{this->self.payload.region, {}};
+  for (const auto& [model, count] : counts) {
+    const auto before = told.find(model);
+    if (before != told.end() && before->second == count) {
+      continue;
+    }
+    message.summary->copies.push_back({model, count});
+    if (EstimateBytes(message) > limit) {
+      message.summary->copies.pop_back();
+      return;
+    }
+  }
+}
+
+MembershipActions Membership::OnMessage(const GossipMessage& message) {
+  const bool to_predecessor = message.to_instance.value != 0 &&
+                              message.to_instance != this->self.instance;
+  if (message.from == this->self.address || to_predecessor ||
+      !this->TakeSender(message)) {
+    return this->Finish();
+  }
+  if (message.config_version > this->config_version &&
+      message.config_version > this->newest_version) {
+    this->newest_version = message.config_version;
+    this->actions.emplace_back(
+        NewerConfig{message.from, message.config_version});
+  }
+  this->TakeCrashes(message);
+  if (message.summary) {
+    this->actions.emplace_back(SummaryReceived{*message.summary});
+  }
+  for (const MemberUpdate& update : message.updates) {
+    this->Apply(update);
+  }
+  if (std::holds_alternative<Probe>(message.body)) {
+    this->Answer(message);
+  } else if (const auto* ack = std::get_if<Ack>(&message.body)) {
+    this->OnAck(message, ack->probe);
+  } else if (const auto* request = std::get_if<IndirectProbe>(&message.body)) {
+    this->Relay(message, *request);
+  }
+  return this->Finish();
+}
+
+// Returns false for a message of a process that another has replaced.
+bool Membership::TakeSender(const GossipMessage& message) {
+  (void)this->OnHint(message.from, message.region);
+  const auto found = this->members.find(message.from);
+  if (found == this->members.end()) {
+    return true;
+  }
+  Member& member = found->second;
+  if (IsOlder(message.incarnation, message.instance, member.update)) {
+    // If the sender is the newer process and its clock was behind, it learns
+    // here which incarnation it has to exceed.
+    if (std::holds_alternative<Probe>(message.body)) {
+      GossipMessage answer = this->NewMessage(message.from, Ack{});
+      answer.to_instance = message.instance;
+      answer.updates.push_back(member.update);
+      this->actions.emplace_back(SendGossip{message.from, std::move(answer)});
+    }
+    return false;
+  }
+  member.heard = this->clock.Now();
+  if (member.update.instance != message.instance) {
+    member.update.instance = message.instance;
+    member.update.incarnation = message.incarnation;
+    member.update.payload.region = message.region;
+    this->SetState(member, MemberState::kAlive);
+  } else if (member.update.state == MemberState::kSuspect) {
+    // A member that is heard is slow, not dead. Others learn it when the
+    // member refutes their suspicion.
+    member.update.state = MemberState::kAlive;
+    member.update.incarnation =
+        std::max(member.update.incarnation, message.incarnation);
+    this->NoteChange(member, true);
+  }
+  return true;
+}
+
+void Membership::Apply(const MemberUpdate& update) {
+  if (update.address == this->self.address) {
+    const bool against = update.instance != this->self.instance ||
+                         update.state == MemberState::kSuspect ||
+                         update.state == MemberState::kDead;
+    if (against && update.incarnation >= this->self.incarnation) {
+      this->Refute(update.incarnation);
+    }
+    return;
+  }
+  const bool local = update.payload.region == this->self.payload.region;
+  auto found = this->members.find(update.address);
+  if (found == this->members.end()) {
+    // A member that is dead for all others is not worth an entry.
+    if (!local || update.state == MemberState::kDead ||
+        this->members.size() >= this->options.max_members) {
+      return;
+    }
+    found = this->members.emplace(update.address, Member{}).first;
+    found->second.heard = this->clock.Now();
+  }
+  Member& member = found->second;
+  if (member.update.instance.value != 0 && !IsNewer(update, member.update)) {
+    return;
+  }
+  const bool urgent = member.update.state != update.state ||
+                      member.update.instance != update.instance;
+  member.update = update;
+  if (urgent) {
+    member.state_since = this->clock.Now();
+  }
+  this->NoteChange(member, urgent);
+}
+
+void Membership::Refute(std::uint64_t incarnation) {
+  this->self.incarnation = incarnation + 1;
+}
+
+void Membership::Answer(const GossipMessage& message) {
+  this->Send(
+      message.from,
+      this->NewMessage(message.from, Ack{std::get<Probe>(message.body).probe}));
+}
+
+void Membership::OnAck(const GossipMessage& message, ProbeId id) {
+  const auto relay = std::ranges::find(this->relayed, id, &RelayedProbe::own);
+  if (relay != this->relayed.end()) {
+    const RelayedProbe done = *relay;
+    this->relayed.erase(relay);
+    this->Send(done.asker, this->NewMessage(done.asker, Ack{done.asked}));
+    return;
+  }
+  // Any answer of the target counts, also a late one to an earlier probe, and
+  // one that another member has passed on.
+  const auto answered =
+      std::ranges::find(this->open_probes, id, &OpenProbe::id);
+  const MemberAddress target =
+      answered == this->open_probes.end() ? message.from : answered->target;
+  std::erase_if(this->open_probes, [&](const OpenProbe& open) {
+    if (open.target != target) {
+      return false;
+    }
+    const auto found = this->members.find(target);
+    if (open.summary && found != this->members.end()) {
+      auto& told = this->told_copies[found->second.update.payload.region];
+      for (const CopyCount& count : open.summary->copies) {
+        told[count.model] = count.copies;
+      }
+    }
+    return true;
+  });
+}
+
+void Membership::Relay(const GossipMessage& message,
+                       const IndirectProbe& request) {
+  if (this->relayed.size() >= kMaxRelays) {
+    return;
+  }
+  // Numbers of relayed probes are drawn, and so apart from the own ones.
+  const ProbeId own{this->random.Next() | (std::uint64_t{1} << 63U)};
+  this->relayed.push_back(
+      {own, request.probe, message.from, this->clock.Now() + kRelayTime});
+  this->Send(request.target, this->NewMessage(request.target, Probe{own}));
+}
+
+void Membership::AddCrashReport(const CrashReport& report) {
+  this->TakeCrash(report);
+}
+
+void Membership::TakeCrashes(const GossipMessage& message) {
+  for (const CrashReport& report : message.crashes) {
+    this->TakeCrash(report);
+  }
+}
+
+void Membership::TakeCrash(const CrashReport& report) {
+  const TimePoint last = this->clock.Now() - Duration(report.age);
+  const auto [found, added] = this->crashes.try_emplace(report.fingerprint);
+  Crash& crash = found->second;
+  if (!added && report.strikes <= crash.report.strikes &&
+      last - crash.last < kCrashRepeat) {
+    return;
+  }
+  crash = {report, last, 0};
+  this->actions.emplace_back(CrashReported{report});
+  if (this->crashes.size() > this->options.max_crash_reports) {
+    const auto oldest = std::ranges::min_element(
+        this->crashes, {}, [](const auto& entry) { return entry.second.last; });
+    this->crashes.erase(oldest);
+  }
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/membership_size.cc
@@ -0,0 +1,56 @@
+#include <numeric>
+
+#include "pimentospar/membership.h"
+
+namespace pimentospar {
+
+namespace {
+
+constexpr std::size_t kWord = 8;
+// Envelope, instances, version and body: see `GossipMessage`.
+constexpr std::size_t kMessageBytes = 12 * kWord;
+// Numbers and pointers of a `MemberUpdate` with its payload.
+constexpr std::size_t kUpdateBytes = 14 * kWord;
+constexpr std::size_t kCrashBytes = 3 * kWord;
+constexpr std::size_t kListBytes = 2 * kWord;
+
+template <typename Tag>
+std::size_t TextBytes(const detail::TextId<Tag>& text) {
+  // A text ends with a zero and fills whole words.
+  return (text.value.size() + kWord) / kWord * kWord;
+}
+
+}  // namespace
+
+std::size_t EstimateBytes(const MemberUpdate& update) {
+  const MemberPayload& payload = update.payload;
+  std::size_t bytes =
+      kUpdateBytes + kListBytes + TextBytes(update.address) +
+      TextBytes(payload.region) + TextBytes(payload.data_centre) +
+      TextBytes(payload.rpc_address) + TextBytes(payload.target);
+  for (const ModelId& model : payload.models) {
+    bytes += kWord + TextBytes(model);
+  }
+  return bytes;
+}
+
+std::size_t EstimateBytes(const GossipMessage& message) {
+  std::size_t bytes = kMessageBytes + 3 * kListBytes + TextBytes(message.from) +
+                      TextBytes(message.region) +
+                      message.crashes.size() * kCrashBytes;
+  if (const auto* indirect = std::get_if<IndirectProbe>(&message.body)) {
+    bytes += TextBytes(indirect->target);
+  }
+  for (const MemberUpdate& update : message.updates) {
+    bytes += EstimateBytes(update);
+  }
+  if (message.summary) {
+    bytes += kListBytes + TextBytes(message.summary->region);
+    for (const CopyCount& count : message.summary->copies) {
+      bytes += 2 * kWord + TextBytes(count.model);
+    }
+  }
+  return bytes;
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/test/membership_test.cc
@@ -0,0 +1,360 @@
+#define BOOST_TEST_MODULE membership
+#include "pimentospar/membership.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <queue>
+
+namespace pimentospar {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kStep{100};
+
+// Members that exchange datagrams over a network with a delay.
+class Net {
+ public:
+  struct Node {
+    std::unique_ptr<Membership> member;
+    MemberAddress address;
+    RegionId region;
+    bool up = true;
+    Duration slow{};
+    std::size_t sent = 0;
+    std::size_t bytes = 0;
+    std::size_t crashes = 0;
+    std::size_t max_messages_per_second = 0;
+    std::size_t second_start = 0;
+    TimePoint told_dead{};
+    std::map<MemberAddress, MemberState> states;
+    std::vector<GossipMessage> kept;
+    std::vector<RegionSummary> summaries;
+    ConfigVersion newest;
+  };
+
+  explicit Net(std::size_t count, std::size_t regions = 1) {
+    for (std::size_t i = 0; i < count; ++i) {
+      Node node;
+      node.address = MemberAddress("10.0." + std::to_string(i / 250) + "." +
+                                   std::to_string(i % 250) + ":7000");
+      node.region = RegionId("region-" + std::to_string(i % regions));
+      this->index[node.address] = i;
+      this->nodes.push_back(std::move(node));
+      this->Start(i);
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+      // The host list names all members of the region and one elsewhere.
+      for (std::size_t other = i % regions; other < count; other += regions) {
+        this->Hint(i, other);
+      }
+      this->Hint(i, (i + 1) % count);
+    }
+  }
+
+  void Start(std::size_t i) {
+    Node& node = this->nodes[i];
+    Membership::Options options;
+    options.address = node.address;
+    options.instance = {this->random.Next() | 1U};
+    options.payload.region = node.region;
+    options.payload.data_centre = DataCentreId("dc-1");
+    options.payload.rpc_address = RpcAddress(node.address.value);
+    options.payload.target = TargetId("target-" + std::to_string(i));
+    node.member =
+        std::make_unique<Membership>(options, this->clock, this->random);
+    node.up = true;
+  }
+
+  void Hint(std::size_t i, std::size_t other) {
+    this->Take(i, this->nodes[i].member->OnHint(this->nodes[other].address,
+                                                this->nodes[other].region));
+  }
+
+  void Take(std::size_t i, const MembershipActions& actions) {
+    Node& node = this->nodes[i];
+    for (const MembershipAction& action : actions) {
+      if (const auto* send = std::get_if<SendGossip>(&action)) {
+        const std::size_t bytes = EstimateBytes(send->message);
+        const bool ack = std::holds_alternative<Ack>(send->message.body);
+        this->too_big |= bytes > (ack ? kMaxAckBytes : kMaxDatagramBytes);
+        ++node.sent;
+        node.bytes += bytes;
+        if (node.kept.size() < 50) {
+          node.kept.push_back(send->message);
+        }
+        this->queue.push_back({this->clock.Now() + kStep + node.slow, i,
+                               send->to, send->message});
+      } else if (const auto* change = std::get_if<MemberChanged>(&action)) {
+        node.states[change->member.address] = change->member.state;
+      } else if (const auto* summary = std::get_if<SummaryReceived>(&action)) {
+        node.summaries.push_back(summary->summary);
+      } else if (const auto* config = std::get_if<NewerConfig>(&action)) {
+        node.newest = config->version;
+      } else {
+        ++node.crashes;
+      }
+    }
+  }
+
+  void Run(Duration time) {
+    const TimePoint end = this->clock.Now() + time;
+    while (this->clock.Now() < end) {
+      this->clock.Advance(kStep);
+      std::vector<Flight> due;
+      std::erase_if(this->queue, [&](Flight& flight) {
+        const bool is_due = flight.at <= this->clock.Now();
+        if (is_due) {
+          due.push_back(std::move(flight));
+        }
+        return is_due;
+      });
+      for (const Flight& flight : due) {
+        this->Deliver(flight);
+      }
+      const bool second =
+          this->clock.Now().time_since_epoch() % seconds(1) == Duration(0);
+      for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+        Node& node = this->nodes[i];
+        if (node.up) {
+          this->Take(i, node.member->OnTime());
+        }
+        if (second) {
+          node.max_messages_per_second = std::max(
+              node.max_messages_per_second, node.sent - node.second_start);
+          node.second_start = node.sent;
+        }
+      }
+    }
+  }
+
+  // Returns how many others see member `i` in this state.
+  std::size_t CountSeeing(std::size_t i, MemberState state) const {
+    std::size_t count = 0;
+    for (const Node& node : this->nodes) {
+      const MemberUpdate* seen = node.member->Find(this->nodes[i].address);
+      const bool counts = &node != &this->nodes[i] && node.up;
+      count += counts && seen != nullptr && seen->instance.value != 0 &&
+                       seen->state == state
+                   ? 1
+                   : 0;
+    }
+    return count;
+  }
+
+  void ResetCounts() {
+    for (Node& node : this->nodes) {
+      node.sent = node.bytes = node.second_start = 0;
+      node.max_messages_per_second = 0;
+    }
+  }
+
+  ManualClock clock;
+  SeededRandom random{11};
+  std::vector<Node> nodes;
+  std::map<MemberAddress, std::size_t> index;
+  bool too_big = false;
+  // A member told another region about a third one.
+  bool leaked_detail = false;
+  bool link_cut = false;
+  // Cuts off the first half of the nodes from the rest.
+  bool half_cut = false;
+
+ private:
+  struct Flight {
+    TimePoint at;
+    std::size_t from;
+    MemberAddress to;
+    GossipMessage message;
+  };
+
+  void Deliver(const Flight& flight) {
+    const std::size_t to = this->index.at(flight.to);
+    const std::size_t half = this->nodes.size() / 2;
+    this->leaked_detail |=
+        this->nodes[flight.from].region != this->nodes[to].region &&
+        std::ranges::any_of(flight.message.updates, [&](const auto& update) {
+          return update.address != flight.message.from;
+        });
+    const bool cut = (this->link_cut && this->nodes[flight.from].region !=
+                                            this->nodes[to].region) ||
+                     (this->half_cut && (flight.from < half) != (to < half));
+    if (!cut && this->nodes[to].up) {
+      this->Take(to, this->nodes[to].member->OnMessage(flight.message));
+    }
+  }
+
+  std::vector<Flight> queue;
+};
+
+// Guards against traffic that grows with the size of the system, and against
+// datagrams over their limit.
+BOOST_AUTO_TEST_CASE(TrafficDoesNotGrowWithTheSize) {
+  for (const std::size_t count : {2U, 20U, 200U}) {
+    Net net(count);
+    net.Run(seconds(60 + 2 * count));
+    std::size_t known = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+      known += net.nodes[i].member->Members().size();
+      net.nodes[i].member->SetModels(
+          std::vector<ModelId>(kMaxModelsPerMember, ModelId("model-name")));
+    }
+    BOOST_TEST(known == count * (count - 1));
+    net.ResetCounts();
+    for (int second = 0; second < 60; ++second) {
+      for (std::size_t i = 0; i < count; ++i) {
+        net.nodes[i].member->SetLoad({static_cast<unsigned>(second)});
+      }
+      net.Run(seconds(1));
+    }
+    std::size_t messages = 0;
+    std::size_t bytes = 0;
+    for (const Net::Node& node : net.nodes) {
+      messages += node.sent;
+      bytes += node.bytes;
+    }
+    BOOST_TEST_MESSAGE("members=" << count << " messages_per_s="
+                                  << static_cast<double>(messages) /
+                                         static_cast<double>(count * 60)
+                                  << " bytes_per_s=" << bytes / (count * 60));
+    // A probe and an acknowledgement a second, each way 1.6 KB at most.
+    BOOST_TEST(messages <= count * 60 * 2);
+    BOOST_TEST(bytes <= count * 60 * (kMaxDatagramBytes + kMaxAckBytes));
+    BOOST_TEST(!net.too_big);
+  }
+}
+
+// Guards against members that are never found dead, or by some only.
+BOOST_AUTO_TEST_CASE(DetectsADeadMember) {
+  for (const std::size_t count : {3U, 50U, 120U}) {
+    Net net(count);
+    net.Run(seconds(60 + 2 * count));
+    net.nodes[1].up = false;
+    int waited = 0;
+    while (net.CountSeeing(1, MemberState::kDead) < count - 1 && waited < 60) {
+      net.Run(seconds(1));
+      ++waited;
+    }
+    BOOST_TEST_MESSAGE("members=" << count << " all_know_after_s=" << waited);
+    BOOST_TEST(waited <= 25);
+    std::size_t not_alive = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+      not_alive +=
+          i == 1 ? 0 : count - 2 - net.CountSeeing(i, MemberState::kAlive);
+    }
+    BOOST_TEST(not_alive == 0U);
+  }
+}
+
+// Guards against slow members that are declared dead.
+BOOST_AUTO_TEST_CASE(SlowMembersAreNotDead) {
+  Net net(30);
+  net.Run(seconds(60));
+  net.nodes[3].slow = milliseconds(1500);
+  net.nodes[4].slow = milliseconds(700);
+  for (int second = 0; second < 300; ++second) {
+    net.Run(seconds(1));
+    BOOST_REQUIRE(net.CountSeeing(3, MemberState::kDead) == 0U);
+    BOOST_REQUIRE(net.CountSeeing(4, MemberState::kDead) == 0U);
+  }
+}
+
+// Guards against a restarted process that is taken for its predecessor, whose
+// messages still arrive; also where the clock of its host is behind.
+BOOST_AUTO_TEST_CASE(RestartReplacesThePredecessor) {
+  for (const bool clock_behind : {false, true}) {
+    Net net(10);
+    net.Run(seconds(60));
+    const InstanceId old = net.nodes[2].member->Self().instance;
+    const std::vector<GossipMessage> late = net.nodes[2].kept;
+    const WallTime wall = net.clock.WallNow();
+    if (clock_behind) {
+      net.clock.SetWall(wall - std::chrono::hours(2));
+    }
+    net.Start(2);
+    net.Hint(2, 3);
+    net.clock.SetWall(wall);
+    for (const GossipMessage& message : late) {
+      net.Run(seconds(1));
+      net.Take(5, net.nodes[5].member->OnMessage(message));
+      net.Take(2, net.nodes[2].member->OnMessage(net.nodes[2].kept[0]));
+    }
+    const InstanceId now = net.nodes[2].member->Self().instance;
+    BOOST_TEST((now != old));
+    for (std::size_t i = 0; i < 10; ++i) {
+      const MemberUpdate* seen =
+          net.nodes[i].member->Find(net.nodes[2].address);
+      BOOST_TEST((i == 2 || (seen->instance == now &&
+                             seen->state == MemberState::kAlive)));
+    }
+    // A message that is meant for the predecessor gets no answer.
+    GossipMessage probe = net.nodes[5].kept.back();
+    probe.to_instance = old;
+    probe.body = Probe{{99}};
+    BOOST_TEST(net.nodes[2].member->OnMessage(probe).empty());
+  }
+}
+
+// Guards against a leaving member that gets new work for long.
+BOOST_AUTO_TEST_CASE(LeavingSpreadsAtOnce) {
+  Net net(50);
+  net.Run(seconds(60));
+  net.Take(7, net.nodes[7].member->Leave());
+  net.Run(2 * kStep);
+  BOOST_TEST(net.CountSeeing(7, MemberState::kLeaving) >= 3U);
+  net.Run(seconds(12));
+  BOOST_TEST(net.CountSeeing(7, MemberState::kLeaving) == 49U);
+}
+
+// Guards against crash reports, configuration versions and summaries that do
+// not reach the others.
+BOOST_AUTO_TEST_CASE(SpreadsReportsAndVersions) {
+  Net net(40, 2);
+  net.Run(seconds(120));
+  net.nodes[0].member->SetModels({ModelId("m")});
+  net.nodes[0].member->SetConfigVersion({5});
+  net.nodes[0].member->AddCrashReport({{77}, 2, milliseconds(10)});
+  net.Run(seconds(120));
+  std::size_t told = 0;
+  std::size_t newer = 0;
+  for (const Net::Node& node : net.nodes) {
+    BOOST_TEST(node.crashes == 1U);
+    newer += node.newest.value == 5 ? 1 : 0;
+    for (const RegionSummary& summary : node.summaries) {
+      BOOST_TEST((summary.region != node.region));
+      told += !summary.copies.empty() ? 1 : 0;
+    }
+  }
+  BOOST_TEST(told > 0U);
+  BOOST_TEST(newer > 5U);
+  // Detail stays in the region.
+  BOOST_TEST(net.nodes[1].member->Members().size() == 19U);
+  BOOST_TEST(!net.leaked_detail);
+}
+
+// Guards against an hour's partition that loses members for good or ends in a
+// burst of messages.
+BOOST_AUTO_TEST_CASE(RejoinsAfterAnHourWithoutABurst) {
+  for (const bool regions : {true, false}) {
+    Net net(20, regions ? 2 : 1);
+    net.Run(seconds(120));
+    net.link_cut = regions;
+    net.half_cut = !regions;
+    net.Run(std::chrono::hours(1));
+    BOOST_TEST((net.CountSeeing(0, MemberState::kDead) > 0U) == !regions);
+    net.link_cut = net.half_cut = false;
+    net.ResetCounts();
+    net.Run(seconds(180));
+    const std::size_t others = regions ? 9U : 19U;
+    for (const Net::Node& node : net.nodes) {
+      BOOST_TEST(node.member->Members().size() == others);
+      BOOST_TEST(node.max_messages_per_second <= 15U);
+      BOOST_TEST(node.sent <= 180U * 2 + 60);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace pimentospar
