Spread membership, configuration versions and strikes by gossip

Cause: processes knew each other from the host list alone, which lags, and a process that cannot reach the log had no way to the configuration.

A new configuration version, a strike and leaving are told to three members of the region and one of another at once: by one probe a second, a region of 333 members would need about 9 s. Entries take agents from membership before the host list. A process that starts without the log asks the peers of its settings and of the host list. StrikeReport replaces the membership module's own CrashReport, so that a crash counts once over any path.

Conclusion: the log is no longer the only way to a configuration; how long a change takes to spread is still to be measured with processes.

--- a/include/pimentospar/membership.h
+++ b/include/pimentospar/membership.h
@@ -11,6 +11,7 @@
 
 #include "pimentospar/clock.h"
 #include "pimentospar/random.h"
+#include "pimentospar/strike.h"
 #include "pimentospar/types.h"
 
 namespace pimentospar {
@@ -57,14 +58,6 @@
   MemberPayload payload;
 };
 
-/// Strikes of a request that crashed targets; not interpreted here.
-struct CrashReport {
-  Fingerprint fingerprint;
-  std::uint32_t strikes = 0;
-  /// Time since the last crash.
-  std::chrono::milliseconds age{};
-};
-
 /// Change in the number of copies of a model in the sender's region.
 struct CopyCount {
   ModelId model;
@@ -99,7 +92,7 @@
   InstanceId to_instance;
   ConfigVersion config_version;
   std::variant<Probe, Ack, IndirectProbe, LeaveNotice> body;
-  std::vector<CrashReport> crashes;
+  std::vector<StrikeReport> strikes;
   std::vector<MemberUpdate> updates;
   std::optional<RegionSummary> summary;
 };
@@ -127,8 +120,9 @@
   MemberAddress peer;
   ConfigVersion version;
 };
-struct CrashReported {
-  CrashReport report;
+/// A strike is new, or has been cleared.
+struct StrikeReceived {
+  StrikeReport report;
 };
 struct SummaryReceived {
   RegionSummary summary;
@@ -136,7 +130,7 @@
 using MembershipAction = std::variant<SendGossip,
                                       MemberChanged,
                                       NewerConfig,
-                                      CrashReported,
+                                      StrikeReceived,
                                       SummaryReceived>;
 using MembershipActions = std::vector<MembershipAction>;
 
@@ -163,9 +157,10 @@
     /// that is held for dead.
     unsigned remote_every = 10;
     unsigned indirect_probes = 2;
-    unsigned leave_notices = 3;
+    /// Members that are told at once of leaving, strikes and new versions.
+    unsigned notices = 3;
     std::size_t max_members = 2048;
-    std::size_t max_crash_reports = 256;
+    std::size_t max_strikes = 256;
     std::size_t max_models = 4096;
   };
 
@@ -184,7 +179,11 @@
   void SetConfigVersion(ConfigVersion version) {
     this->config_version = version;
   }
-  void AddCrashReport(const CrashReport& report);
+  /// Spreads a strike, at once to some and then by gossip.
+  [[nodiscard]] MembershipActions AddStrike(const StrikeReport& report);
+  /// Tells some members at once that the configuration version has changed.
+  /// By probes alone, a region of 333 members needs about 9 s.
+  [[nodiscard]] MembershipActions Announce();
   /// Tells that this member is leaving, at once to some and then by gossip.
   [[nodiscard]] MembershipActions Leave();
 
@@ -223,9 +222,15 @@
     MemberAddress asker;
     TimePoint until{};
   };
-  struct Crash {
-    CrashReport report;
-    TimePoint last{};
+  struct StrikeKey {
+    Fingerprint fingerprint;
+    CrashId crash;
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`
+    auto operator<=>(const StrikeKey&) const = default;
+  };
+  struct Strike {
+    StrikeReport report;
+    TimePoint received{};
     unsigned sent = 0;
   };
 
@@ -250,15 +255,16 @@
   void Refute(std::uint64_t incarnation);
   void SetState(Member& member, MemberState state);
   void NoteChange(Member& member, bool urgent);
-  void TakeCrashes(const GossipMessage& message);
-  void TakeCrash(const CrashReport& report);
+  void TakeStrikes(const GossipMessage& message);
+  bool TakeStrike(const StrikeReport& report);
+  void ProbeSome();
 
   [[nodiscard]] GossipMessage NewMessage(
       const MemberAddress& to,
       decltype(GossipMessage::body) body) const;
   void Send(const MemberAddress& to, GossipMessage message);
   void Fill(const MemberAddress& to, GossipMessage& message, std::size_t limit);
-  void FillCrashes(GossipMessage& message, std::size_t limit);
+  void FillStrikes(GossipMessage& message, std::size_t limit);
   void FillUpdates(GossipMessage& message, std::size_t limit);
   void FillOthers(GossipMessage& message, std::size_t limit);
   void FillSummary(const RegionId& to,
@@ -276,7 +282,7 @@
   ConfigVersion config_version;
   ConfigVersion newest_version;
   std::map<MemberAddress, Member> members;
-  std::map<Fingerprint, Crash> crashes;
+  std::map<StrikeKey, Strike> strikes;
   std::map<RegionId, std::map<ModelId, std::uint32_t>> told_copies;
   /// Oldest first; a new one starts each `probe_interval`.
   std::vector<OpenProbe> open_probes;
--- a/include/pimentospar/quarantine.h
+++ b/include/pimentospar/quarantine.h
@@ -12,14 +12,11 @@
 #include <vector>
 
 #include "pimentospar/clock.h"
+#include "pimentospar/strike.h"
 #include "pimentospar/types.h"
 
 namespace pimentospar {
 
-/// Identifies one crash of one target, so that a crash reported over several
-/// paths counts once.
-using CrashId = detail::NumberId<struct CrashTag>;
-
 /// Returns the id of the crash that ended an engine incarnation.
 [[nodiscard]] CrashId CrashOf(const TargetId& target,
                               std::uint64_t engine_incarnation);
@@ -36,19 +33,6 @@
                                         const OperationId& operation,
                                         std::string_view body);
 
-/// One strike as it travels between processes; ages replace times because the
-/// processes share no clock.
-struct StrikeReport {
-  Fingerprint fingerprint;
-  CrashId crash;
-  /// True if the request has completed since, which voids the strike for good.
-  bool cleared = false;
-  /// Time since the strike, or since it was cleared.
-  std::chrono::milliseconds age{0};
-  /// Time since a request with the fingerprint was last seen anywhere.
-  std::chrono::milliseconds last_seen_age{0};
-};
-
 struct QuarantineOptions {
   std::size_t max_entries = 4096;
   std::uint32_t strikes_to_refuse = 3;
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -66,8 +66,125 @@
   LogInfo("listening",
           {{"purpose", "rpc"},
            {"address", ToString(this->rpc_server->LocalAddress())}});
+  this->StartGossip();
   this->Repeat(this->settings.config_interval,
                [this] { this->config_feed.Poll(); });
+  this->Repeat(this->settings.hosts_interval, [this] { this->ReadHosts(); });
+  // Peers in the settings are asked once, so that a process that starts while
+  // the log is down gets its configuration.
+  const bool taken = this->control.TryRun([this] {
+    for (const std::string& peer : this->settings.peers) {
+      this->config_feed.FetchFrom(AddressOf(peer));
+    }
+  });
+  if (!taken) {
+    LogError("control_task_refused");
+  }
+}
+
+Membership::Options Process::GossipOptions() const {
+  Membership::Options options;
+  options.instance = this->instance;
+  options.payload.role = this->settings.GetRole() == Role::kAgent
+                             ? MemberRole::kAgent
+                             : MemberRole::kEntry;
+  options.payload.region = RegionId(this->settings.region);
+  options.payload.data_centre = DataCentreId(this->settings.data_centre);
+  options.payload.rpc_address =
+      RpcAddress(ToString(this->rpc_server->LocalAddress()));
+  options.payload.target = TargetId(this->settings.target);
+  return options;
+}
+
+void Process::StartGossip() {
+  if (this->settings.gossip_address.empty()) {
+    return;
+  }
+  GossipCallbacks callbacks;
+  callbacks.on_member = [this](const MemberUpdate& member) {
+    if (this->on_member) {
+      this->on_member(member);
+    }
+  };
+  callbacks.on_strike = [this](const StrikeReport& report) {
+    if (this->on_strike) {
+      this->on_strike(report);
+    }
+  };
+  callbacks.on_newer_config = [this](const RpcAddress& peer) {
+    // The call waits for the peer, so it has a fiber of its own.
+    (void)this->control.TryRun([this, address = AddressOf(peer.value)] {
+      this->config_feed.FetchFrom(address);
+    });
+  };
+  this->gossip = std::make_unique<Gossip>(
+      this->io, this->control, this->clock, this->random, this->metrics,
+      AddressOf(this->settings.gossip_address), this->GossipOptions(),
+      std::move(callbacks));
+  LogInfo("listening", {{"purpose", "gossip"},
+                        {"address", ToString(this->gossip->LocalAddress())}});
+  this->config_feed.SetOnApplied([this](ConfigVersion) {
+    this->TickGossip();
+    this->gossip->Announce();
+  });
+  constexpr std::chrono::milliseconds kTick{50};
+  this->Repeat(kTick, [this] { this->TickGossip(); });
+}
+
+void Process::TickGossip() {
+  const ActiveConfigPtr active = this->config.Get();
+  LoadSummary load;
+  std::vector<ModelId> models;
+  {
+    const std::lock_guard lock(this->target_state_mutex);
+    load = this->target_load;
+    models = this->target_models;
+  }
+  this->gossip->SetState(active == nullptr ? ConfigVersion{} : active->version,
+                         load, std::move(models));
+  if (this->IsDraining() && !this->leave_told) {
+    this->leave_told = true;
+    this->gossip->Leave();
+  }
+  this->gossip->Tick();
+}
+
+void Process::ReadHosts() {
+  const auto list = ReadHostList(this->http, this->clock,
+                                 AddressOf(this->settings.hosts_address));
+  if (!list) {
+    return;
+  }
+  if (this->on_hosts) {
+    this->on_hosts(*list);
+  }
+  if (this->gossip != nullptr) {
+    this->gossip->AddHints(*list);
+  }
+  if (this->config.Get() != nullptr) {
+    return;
+  }
+  // Without a configuration from the log, any live process may have one.
+  for (const ListedHost& host : *list) {
+    if (this->config.Get() == nullptr && !this->stopping.load()) {
+      this->config_feed.FetchFrom(host.address);
+    }
+  }
+}
+
+void Process::SpreadStrike(const StrikeReport& report) {
+  (void)this->control.TryRun([this, report] {
+    if (this->gossip != nullptr) {
+      this->gossip->AddStrike(report);
+    }
+  });
+}
+
+void Process::SetTargetState(const LoadSummary& load,
+                             std::vector<ModelId> models) {
+  const std::lock_guard lock(this->target_state_mutex);
+  this->target_load = load;
+  this->target_models = std::move(models);
 }
 
 void Process::Repeat(std::chrono::milliseconds interval,
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -7,6 +7,7 @@
 
 #include "control/active_config.h"
 #include "control/config_feed.h"
+#include "control/gossip.h"
 #include "control/http_log.h"
 #include "daemon/settings.h"
 #include "net/fiber_thread.h"
@@ -42,6 +43,8 @@
   /// Answers `/readyz`; an empty text means ready, another one says what is
   /// missing.
   using Readiness = std::function<std::string()>;
+  /// Takes the rows of the host list each time it has been read.
+  using OnHosts = std::function<void(std::span<const ListedHost>)>;
 
   explicit Process(const Settings& settings);
   Process(const Process&) = delete;
@@ -62,6 +65,22 @@
   [[nodiscard]] bool IsDraining() const { return this->draining.load(); }
   void BeginDrain() { this->draining.store(true); }
 
+  /// Called on the control thread whenever the host list has been read.
+  void SetOnHosts(OnHosts callback) { this->on_hosts = std::move(callback); }
+  /// Called on the control thread for each news of another member.
+  void SetOnMember(std::function<void(const MemberUpdate&)> callback) {
+    this->on_member = std::move(callback);
+  }
+  /// Called on the control thread for each strike that a peer reports.
+  void SetOnStrike(std::function<void(const StrikeReport&)> callback) {
+    this->on_strike = std::move(callback);
+  }
+  /// Spreads a strike that this process observed; may be called from any
+  /// thread.
+  void SpreadStrike(const StrikeReport& report);
+  /// What the process tells its peers of its target; from any thread.
+  void SetTargetState(const LoadSummary& load, std::vector<ModelId> models);
+
   /// Ends the threads; nothing may be in flight any more.
   void Stop();
 
@@ -84,12 +103,24 @@
   bool HandleOperator(const std::shared_ptr<HttpExchange>& exchange);
   [[nodiscard]] HttpResponse AnswerOperator(const HttpRequest& request) const;
   [[nodiscard]] std::string StatusJson() const;
+  void StartGossip();
+  void TickGossip();
+  void ReadHosts();
+  [[nodiscard]] Membership::Options GossipOptions() const;
 
   Readiness readiness;
   std::atomic<bool> draining = false;
   std::atomic<bool> stopping = false;
   std::atomic<std::uint64_t> attempts = 0;
   std::uint64_t attempt_prefix;
+  OnHosts on_hosts;
+  std::function<void(const MemberUpdate&)> on_member;
+  std::function<void(const StrikeReport&)> on_strike;
+  std::mutex target_state_mutex;
+  LoadSummary target_load;
+  std::vector<ModelId> target_models;
+  bool leave_told = false;
+  std::unique_ptr<Gossip> gossip;
   std::unique_ptr<AgentServer> rpc_server;
   std::unique_ptr<HttpServer> operator_server;
 };
--- a/src/entry/directory.cc
+++ b/src/entry/directory.cc
@@ -15,16 +15,50 @@
     next[host.target] = {host.target, host.region, host.data_centre,
                          host.address, host.is_leaving || told_us};
   }
+  for (const auto& [target, agent] : this->members) {
+    next[target] = agent;
+  }
   this->agents = std::move(next);
 }
 
+void AgentDirectory::Update(const MemberUpdate& member) {
+  const MemberPayload& payload = member.payload;
+  const auto address = ParseAddress(payload.rpc_address.value);
+  if (payload.role != MemberRole::kAgent || payload.target.IsEmpty() ||
+      !address) {
+    return;
+  }
+  const std::lock_guard lock(this->mutex);
+  const auto known = this->members.find(payload.target);
+  const bool is_same =
+      known != this->members.end() && known->second.address == *address;
+  if (member.state == MemberState::kDead) {
+    if (is_same) {
+      this->members.erase(known);
+      this->agents.erase(payload.target);
+    }
+    return;
+  }
+  // A predecessor's news must not replace the successor at another address.
+  if (known != this->members.end() && !is_same &&
+      member.state != MemberState::kAlive) {
+    return;
+  }
+  const KnownAgent agent{payload.target, payload.region, payload.data_centre,
+                         *address, member.state == MemberState::kLeaving};
+  this->members[payload.target] = agent;
+  this->agents[payload.target] = agent;
+}
+
 void AgentDirectory::MarkLeaving(const TargetId& target,
                                  const Address& address) {
   const std::lock_guard lock(this->mutex);
   this->left[target] = address;
-  const auto found = this->agents.find(target);
-  if (found != this->agents.end() && found->second.address == address) {
-    found->second.is_leaving = true;
+  for (auto* known : {&this->agents, &this->members}) {
+    const auto found = known->find(target);
+    if (found != known->end() && found->second.address == address) {
+      found->second.is_leaving = true;
+    }
   }
 }
 
--- a/src/entry/directory.h
+++ b/src/entry/directory.h
@@ -9,6 +9,7 @@
 
 #include "control/host_list.h"
 #include "net/address.h"
+#include "pimentospar/membership.h"
 #include "pimentospar/types.h"
 
 namespace pimentospar {
@@ -28,6 +29,9 @@
   /// Takes over what the host list says; an agent that told us itself that it
   /// leaves stays so.
   void Update(std::span<const ListedHost> hosts);
+  /// Takes over what an agent tells of itself through membership; it overrides
+  /// the host list, which lags.
+  void Update(const MemberUpdate& member);
   /// Notes that the agent itself refused work because it leaves.
   void MarkLeaving(const TargetId& target, const Address& address);
   [[nodiscard]] std::vector<KnownAgent> Agents() const;
@@ -37,6 +41,9 @@
   mutable std::mutex mutex;
   std::map<TargetId, KnownAgent> agents;
   std::map<TargetId, Address> left;
+  // Agents known through membership; they stay until membership holds them for
+  // dead, whatever the host list says.
+  std::map<TargetId, KnownAgent> members;
 };
 
 }  // namespace pimentospar
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -44,7 +44,13 @@
 
 }  // namespace
 
-Entry::Entry(Process& process) : process(process) {}
+Entry::Entry(Process& process) : process(process) {
+  process.SetOnHosts([this](std::span<const ListedHost> hosts) {
+    this->directory.Update(hosts);
+  });
+  process.SetOnMember(
+      [this](const MemberUpdate& member) { this->directory.Update(member); });
+}
 
 void Entry::Start() {
   const Settings& settings = this->process.settings;
@@ -64,14 +70,6 @@
   LogInfo("listening",
           {{"purpose", "caller"},
            {"address", ToString(FromEndpoint(this->server->LocalEndpoint()))}});
-  const Address hosts =
-      ParseAddress(settings.hosts_address).value_or(Address{});
-  this->process.Repeat(settings.hosts_interval, [this, hosts] {
-    if (const auto list =
-            ReadHostList(this->process.http, this->process.clock, hosts)) {
-      this->directory.Update(*list);
-    }
-  });
 }
 
 PeerUpdate Entry::OnConfigSince(std::optional<ConfigVersion> version) {
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -89,8 +89,8 @@
 MembershipActions Membership::Leave() {
   this->self.state = MemberState::kLeaving;
   this->self.incarnation++;
-  for (const MemberAddress& to : this->Draw(this->Candidates(false, false),
-                                            this->options.leave_notices)) {
+  for (const MemberAddress& to :
+       this->Draw(this->Candidates(false, false), this->options.notices)) {
     this->Send(to, this->NewMessage(to, LeaveNotice{}));
   }
   return this->Finish();
--- a/src/membership_messages.cc
+++ b/src/membership_messages.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-// A report of the same strikes counts as news after this time.
-constexpr std::chrono::minutes kCrashRepeat{1};
 constexpr std::chrono::seconds kRelayTime{1};
 constexpr std::size_t kMaxRelays = 64;
 constexpr std::size_t kMaxUpdatesPerMessage = 64;
@@ -48,7 +46,7 @@
   message.incarnation = this->self.incarnation;
   message.region = this->self.payload.region;
   message.config_version = this->config_version;
-  message.body = body;
+  message.body = std::move(body);
   if (const MemberUpdate* known = this->Find(to)) {
     message.to_instance = known->instance;
   }
@@ -65,7 +63,7 @@
 void Membership::Fill(const MemberAddress& to,
                       GossipMessage& message,
                       std::size_t limit) {
-  this->FillCrashes(message, limit);
+  this->FillStrikes(message, limit);
   const auto add = [&](const MemberUpdate& update) {
     if (EstimateBytes(message) + EstimateBytes(update) <= limit) {
       message.updates.push_back(update);
@@ -111,20 +109,22 @@
   }
 }
 
-void Membership::FillCrashes(GossipMessage& message, std::size_t limit) {
-  for (auto& [fingerprint, crash] : this->crashes) {
-    if (crash.sent >= this->SendLimit()) {
+void Membership::FillStrikes(GossipMessage& message, std::size_t limit) {
+  const TimePoint now = this->clock.Now();
+  for (auto& [key, strike] : this->strikes) {
+    if (strike.sent >= this->SendLimit()) {
       continue;
     }
-    message.crashes.push_back(crash.report);
+    message.strikes.push_back(strike.report);
     if (EstimateBytes(message) > limit) {
-      message.crashes.pop_back();
+      message.strikes.pop_back();
       return;
     }
-    message.crashes.back().age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            this->clock.Now() - crash.last);
-    ++crash.sent;
+    const auto held = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - strike.received);
+    message.strikes.back().age += held;
+    message.strikes.back().last_seen_age += held;
+    ++strike.sent;
   }
 }
 
@@ -205,7 +205,7 @@
     this->actions.emplace_back(
         NewerConfig{message.from, message.config_version});
   }
-  this->TakeCrashes(message);
+  this->TakeStrikes(message);
   if (message.summary) {
     this->actions.emplace_back(SummaryReceived{*message.summary});
   }
@@ -343,31 +343,54 @@
   this->Send(request.target, this->NewMessage(request.target, Probe{own}));
 }
 
-void Membership::AddCrashReport(const CrashReport& report) {
-  this->TakeCrash(report);
+MembershipActions Membership::AddStrike(const StrikeReport& report) {
+  if (this->TakeStrike(report)) {
+    this->ProbeSome();
+  }
+  return this->Finish();
 }
 
-void Membership::TakeCrashes(const GossipMessage& message) {
-  for (const CrashReport& report : message.crashes) {
-    this->TakeCrash(report);
+MembershipActions Membership::Announce() {
+  this->ProbeSome();
+  return this->Finish();
+}
+
+void Membership::ProbeSome() {
+  for (const MemberAddress& to :
+       this->Draw(this->Candidates(false, false), this->options.notices)) {
+    ++this->probes;
+    this->SendProbe(to);
+  }
+  for (const MemberAddress& to : this->Draw(this->Candidates(true, false), 1)) {
+    ++this->probes;
+    this->SendProbe(to);
   }
 }
 
-void Membership::TakeCrash(const CrashReport& report) {
-  const TimePoint last = this->clock.Now() - Duration(report.age);
-  const auto [found, added] = this->crashes.try_emplace(report.fingerprint);
-  Crash& crash = found->second;
-  if (!added && report.strikes <= crash.report.strikes &&
-      last - crash.last < kCrashRepeat) {
-    return;
+void Membership::TakeStrikes(const GossipMessage& message) {
+  for (const StrikeReport& report : message.strikes) {
+    if (this->TakeStrike(report)) {
+      this->actions.emplace_back(StrikeReceived{report});
+    }
+  }
+}
+
+bool Membership::TakeStrike(const StrikeReport& report) {
+  const auto [found, added] =
+      this->strikes.try_emplace({report.fingerprint, report.crash});
+  Strike& strike = found->second;
+  const bool is_news = added || (report.cleared && !strike.report.cleared);
+  if (!is_news) {
+    return false;
   }
-  crash = {report, last, 0};
-  this->actions.emplace_back(CrashReported{report});
-  if (this->crashes.size() > this->options.max_crash_reports) {
+  strike = {report, this->clock.Now(), 0};
+  if (this->strikes.size() > this->options.max_strikes) {
     const auto oldest = std::ranges::min_element(
-        this->crashes, {}, [](const auto& entry) { return entry.second.last; });
-    this->crashes.erase(oldest);
+        this->strikes, {},
+        [](const auto& entry) { return entry.second.received; });
+    this->strikes.erase(oldest);
   }
+  return true;
 }
 
 }  // namespace pimentospar
--- a/src/membership_size.cc
+++ b/src/membership_size.cc
@@ -11,7 +11,7 @@
 constexpr std::size_t kMessageBytes = 12 * kWord;
 // Numbers and pointers of a `MemberUpdate` with its payload.
 constexpr std::size_t kUpdateBytes = 14 * kWord;
-constexpr std::size_t kCrashBytes = 3 * kWord;
+constexpr std::size_t kStrikeBytes = 4 * kWord;
 constexpr std::size_t kListBytes = 2 * kWord;
 
 template <typename Tag>
@@ -37,7 +37,7 @@
 std::size_t EstimateBytes(const GossipMessage& message) {
   std::size_t bytes = kMessageBytes + 3 * kListBytes + TextBytes(message.from) +
                       TextBytes(message.region) +
-                      message.crashes.size() * kCrashBytes;
+                      message.strikes.size() * kStrikeBytes;
   if (const auto* indirect = std::get_if<IndirectProbe>(&message.body)) {
     bytes += TextBytes(indirect->target);
   }
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -65,7 +65,7 @@
   1 0 "$document" | curl -fsS --data-binary @- "http://$log/v1/streams/config/records" >/dev/null
 
 rows=()
-add_host() { rows+=("{\"id\":\"$1\",\"role\":\"$2\",\"region\":\"$3\",\"data_centre\":\"$3-1\",\"address\":\"$4\",\"target\":\"$5\",\"state\":\"live\"}"); }
+add_host() { rows+=("{\"id\":\"$1\",\"role\":\"$2\",\"region\":\"$3\",\"data_centre\":\"$3-1\",\"address\":\"$4\",\"gossip\":\"$(address_of "$1" gossip)\",\"target\":\"$5\",\"state\":\"live\"}"); }
 publish_hosts() {
   local IFS=,
   curl -fsS -X PUT --data "{\"hosts\":[${rows[*]}]}" "http://$hosts/hosts" >/dev/null
