--- /dev/null
+++ b/src/control/log_client.h
@@ -0,0 +1,37 @@
+#ifndef SRC_CONTROL_LOG_CLIENT_H_
+#define SRC_CONTROL_LOG_CLIENT_H_
+
+#include <cstdint>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "pimentospar/config_log.h"
+
+namespace pimentospar {
+
+/// The log did not take the record, for certain.
+struct NotAppended {};
+/// The answer was lost; the record may have been appended.
+struct AppendUnknown {};
+using AppendResult = std::variant<LogOffset, NotAppended, AppendUnknown>;
+
+/// A page of a stream, as the log answers it.
+struct LogPage {
+  LogOffset first;
+  LogOffset next;
+  std::vector<ConfigRecord> records;
+};
+
+/// Blocking access to the stream `config` of the log.
+class LogClient {
+ public:
+  virtual ~LogClient() = default;
+  virtual AppendResult Append(std::string_view body) = 0;
+  /// Returns nothing if the log cannot be reached.
+  virtual std::optional<LogPage> Read(LogOffset from) = 0;
+};
+
+}  // namespace pimentospar
+
+#endif  // SRC_CONTROL_LOG_CLIENT_H_
--- /dev/null
+++ b/src/control/propose.cc
@@ -0,0 +1,44 @@
+#include "control/propose.h"
+
+namespace pimentospar {
+
+namespace {
+
+// Reads of the stream for a record whose answer was lost.
+constexpr int kSettlingReads = 5;
+
+}  // namespace
+
+bool ReadToTail(LogClient& client, ConfigLog& log) {
+  for (;;) {
+    const LogOffset from = log.ReadFrom();
+    const std::optional<LogPage> page = client.Read(from);
+    if (!page) {
+      return false;
+    }
+    log.OnLogRecords(page->records);
+    if (page->records.empty() || log.ReadFrom() == from) {
+      return true;
+    }
+  }
+}
+
+ProposalResult ProposeChange(LogClient& client,
+                             ConfigLog& log,
+                             const ChangeDraft& draft) {
+  const AppendResult appended = client.Append(MakeChange(draft));
+  if (std::holds_alternative<NotAppended>(appended)) {
+    return LogUnreachable{};
+  }
+  for (int read = 0; read < kSettlingReads; ++read) {
+    if (!ReadToTail(client, log)) {
+      continue;
+    }
+    if (const ChangeLine* line = log.FindChange(draft.id)) {
+      return *line;
+    }
+  }
+  return ProposalUnknown{draft.id};
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/test/adapter/propose_test.cc
@@ -0,0 +1,84 @@
+#define BOOST_TEST_MODULE propose
+#include "control/propose.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace pimentospar {
+namespace {
+
+// A log in memory that can lose answers and fail reads.
+struct FakeLogClient final : LogClient {
+  AppendResult Append(std::string_view body) override {
+    if (this->is_down) {
+      return NotAppended{};
+    }
+    ++this->appends;
+    if (!this->drops_record) {
+      this->records.push_back(
+          {LogOffset{this->records.size()}, 0, std::string(body)});
+    }
+    if (this->loses_answer) {
+      return AppendUnknown{};
+    }
+    return LogOffset{this->records.size() - 1};
+  }
+  std::optional<LogPage> Read(LogOffset from) override {
+    if (this->is_down || this->failing_reads-- > 0) {
+      return std::nullopt;
+    }
+    LogPage page{LogOffset{0}, from, {}};
+    for (std::size_t i = from.value; i < this->records.size(); ++i) {
+      page.records.push_back(this->records[i]);
+      page.next = LogOffset{i + 1};
+    }
+    return page;
+  }
+
+  std::vector<ConfigRecord> records;
+  int appends = 0;
+  int failing_reads = 0;
+  bool is_down = false;
+  bool loses_answer = false;
+  bool drops_record = false;
+};
+
+struct Fixture {
+  ProposalResult Propose(std::string id) {
+    return ProposeChange(
+        this->client, this->log,
+        {std::move(id), "ann", 1, {}, std::string(kGenesisHash), "{}", true});
+  }
+  FakeLogClient client;
+  ManualClock clock;
+  SeededRandom random{1};
+  ConfigLog log{clock, random};
+};
+
+// Guards against a change that is appended twice or reported lost after its
+// answer was lost.
+BOOST_FIXTURE_TEST_CASE(SettlesALostAnswerByReading, Fixture) {
+  this->client.loses_answer = true;
+  this->client.failing_reads = 2;
+  const ProposalResult result = this->Propose("one");
+  const ChangeLine* line = std::get_if<ChangeLine>(&result);
+  BOOST_TEST_REQUIRE(line != nullptr);
+  BOOST_TEST(std::holds_alternative<Accepted>(line->verdict));
+  BOOST_TEST(this->client.appends == 1);
+  // The loser of a race is told so.
+  const ProposalResult second = this->Propose("two");
+  BOOST_TEST(
+      std::holds_alternative<Overtaken>(std::get<ChangeLine>(second).verdict));
+}
+
+// Guards against a guess when nothing can be known.
+BOOST_FIXTURE_TEST_CASE(SaysWhenTheOutcomeIsUnknown, Fixture) {
+  this->client.loses_answer = true;
+  this->client.drops_record = true;
+  BOOST_TEST(std::holds_alternative<ProposalUnknown>(this->Propose("one")));
+  BOOST_TEST(this->client.appends == 1);
+  this->client.is_down = true;
+  BOOST_TEST(std::holds_alternative<LogUnreachable>(this->Propose("two")));
+}
+
+}  // namespace
+}  // namespace pimentospar
