--- a/src/ctl/config_commands.cc
+++ b/src/ctl/config_commands.cc
@@ -333,7 +333,7 @@
 }  // namespace
 
 std::span<const Command> ConfigCommands() {
-  static const std::vector<Command> kCommands{
+  static const std::vector<Command> commands{
       {{"config propose", "FILE",
         "Proposes a whole document or a JSON Patch and tells the result.", 1, 1,
         true, false, true},
@@ -353,7 +353,7 @@
       {{"config status", "", "Shows the version in force at each process.", 0,
         0, false, false, false, true},
        RunStatus}};
-  return kCommands;
+  return commands;
 }
 
 }  // namespace pimentospar::ctl
--- a/src/ctl/local_commands.cc
+++ b/src/ctl/local_commands.cc
@@ -90,7 +90,7 @@
 }  // namespace
 
 std::span<const Command> LocalCommands() {
-  static const std::vector<Command> kCommands{
+  static const std::vector<Command> commands{
       {{"questionnaire", "", "Prints the form to fill in."}, RunQuestionnaire},
       {{"generate", "FORM", "Turns a form into a configuration.", 1, 1},
        RunGenerate},
@@ -98,7 +98,7 @@
       {{"explain", "REASON", "Explains a reason code.", 1, 1}, RunExplain},
       {{"config explain", "REASON", "Explains a reason code.", 1, 1},
        RunExplain}};
-  return kCommands;
+  return commands;
 }
 
 }  // namespace pimentospar::ctl
