--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -40,7 +40,7 @@
   for (const auto& commands : {LocalCommands(), ConfigCommands()}) {
     for (const Command& command : commands) {
       if (command.shape.name == name) {
-        const auto options = ReadOptions(command.shape, std::move(words));
+        const auto options = ReadOptions(command.shape, words);
         return options ? command.run(*options) : kUsage;
       }
     }
--- a/src/ctl/options.cc
+++ b/src/ctl/options.cc
@@ -57,7 +57,7 @@
 }  // namespace
 
 std::optional<Options> ReadOptions(const CommandShape& shape,
-                                   std::vector<std::string> words) {
+                                   const std::vector<std::string>& words) {
   RawOptions raw;
   const std::vector<poptOption> table = MakeTable(shape, raw);
   std::string program = "pimentosparctl " + shape.name;
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -48,7 +48,7 @@
 /// Reads the words after the command. After `--help` the process has ended;
 /// nothing is returned for wrong usage, which is told on standard error.
 std::optional<Options> ReadOptions(const CommandShape& shape,
-                                   std::vector<std::string> words);
+                                   const std::vector<std::string>& words);
 
 }  // namespace pimentospar::ctl
 
--- a/src/ctl/output.cc
+++ b/src/ctl/output.cc
@@ -65,6 +65,7 @@
 void PrintErrors(const std::vector<ConfigError>& errors, bool json) {
   if (json) {
     std::vector<std::vector<std::string>> rows;
+    rows.reserve(errors.size());
     for (const ConfigError& error : errors) {
       rows.push_back({error.path, error.problem, error.remedy});
     }
