--- a/src/control/config_feed.cc
+++ b/src/control/config_feed.cc
@@ -8,9 +8,6 @@
 
 constexpr std::string_view kStream = "config";
 constexpr std::size_t kRecordsPerRead = 100;
-// The log numbers the records of a stream from 1; 0 is the base of the first
-// change.
-constexpr LogOffset kFirstOffset{1};
 constexpr std::chrono::seconds kPeerTimeout{5};
 
 std::string_view ToText(Refusal refusal) {
@@ -63,7 +60,7 @@
       holder(holder),
       metrics(metrics),
       clock(clock),
-      config_log(clock, random, {.first_offset = kFirstOffset}) {}
+      config_log(clock, random, {.first_offset = control::kFirstOffset}) {}
 
 void ConfigFeed::Poll() {
   while (true) {
--- a/src/control/log_client.h
+++ b/src/control/log_client.h
@@ -12,6 +12,10 @@
 
 namespace pimentospar::control {
 
+/// The log numbers the records of each stream from 1, so that 0 can stand for
+/// "before the first record".
+inline constexpr LogOffset kFirstOffset{1};
+
 /// The log stored the record at this offset.
 struct Appended {
   LogOffset offset;
