Refuse a load whose inherited charge exceeds the capacity

An agent reused the memory of a settled and unloaded item and was replaced before its settle record landed. The successor charged 19 of 15 units and still loaded the item, since it counted as charged already. Fits now compares the whole account with the capacity.

--- a/src/memory_account.cc
+++ b/src/memory_account.cc
@@ -42,9 +42,9 @@
     return false;
   }
   const Bytes present = charge == nullptr ? 0 : charge->bytes;
-  if (bytes <= present) {
-    return true;
-  }
+  // A charge is no right to load: an inherited one may exceed the capacity,
+  // if its order ended and the memory was reused before that was on the log.
+  bytes = std::max(bytes, present);
   const bool adapter = item.kind == ItemKind::kAdapter;
   const Bytes limit =
       adapter ? this->options.adapter_pool : this->options.capacity;
--- a/test/memory_account_test.cc
+++ b/test/memory_account_test.cc
@@ -613,6 +613,9 @@
   BOOST_TEST(account.Intend(adapter, 2));
   BOOST_TEST(account.Charged() == kMemory);
   BOOST_TEST(!account.Intend({ItemKind::kAdapter, ItemId("b2")}, 2));
+  // An inherited charge beyond the capacity does not allow the load.
+  account.Pin(Weights("w6"), 6);
+  BOOST_TEST(!account.Fits(Weights("w6"), 6));
   account.Pin(adapter, 2);
   account.Release(adapter);
   BOOST_TEST(account.Find(adapter) != nullptr);
