--- /dev/null
+++ b/src/placement_adapter.cc
@@ -0,0 +1,106 @@
+#include <algorithm>
+#include <cmath>
+
+#include "pimentospar/placement.h"
+
+namespace pimentospar {
+
+namespace {
+
+// An adapter displaces another one only if it is asked for this many times as
+// often, so that two similar ones do not displace each other in turn.
+constexpr double kDisplaceFactor = 2.0;
+// Adapters stand at more copies than their share of the requests alone needs,
+// so that most of the choice of a target remains.
+constexpr double kExtraCopies = 1.5;
+
+}  // namespace
+
+double Planner::AdapterBytesAt(const Target& target) const {
+  double bytes = 0;
+  for (const Index adapter : target.adapters) {
+    bytes += this->adapters[adapter].bytes;
+  }
+  return bytes;
+}
+
+// Loads an adapter into the pool of a target, displacing adapters that are
+// asked for much less.
+bool Planner::LoadAdapter(Index adapter,
+                          Index target,
+                          std::vector<Move>& moves) {
+  Target& entry = this->targets[target];
+  const Adapter& wanted = this->adapters[adapter];
+  std::vector<Index> rest = entry.adapters;
+  std::ranges::sort(rest, [&](Index left, Index right) {
+    return this->adapters[left].rate < this->adapters[right].rate;
+  });
+  double room = entry.adapter_pool - this->AdapterBytesAt(entry) - wanted.bytes;
+  std::size_t displaced = 0;
+  while (room < 0 && displaced < rest.size() &&
+         this->adapters[rest[displaced]].rate * kDisplaceFactor <=
+             wanted.rate) {
+    room += this->adapters[rest[displaced++]].bytes;
+  }
+  if (room < 0) {
+    return false;
+  }
+  const auto note = [&](MoveKind kind, Index item, MoveReason reason) {
+    moves.push_back(
+        {kind, entry.id, this->models[this->adapters[item].model].id,
+         this->adapters[item].id, reason, this->adapters[item].rate});
+  };
+  for (std::size_t i = 0; i < displaced; ++i) {
+    note(MoveKind::kUnloadAdapter, rest[i], MoveReason::kMakeRoom);
+    std::erase(entry.adapters, rest[i]);
+  }
+  note(MoveKind::kLoadAdapter, adapter, MoveReason::kAdapterDemand);
+  entry.adapters.push_back(adapter);
+  return true;
+}
+
+void Planner::PlaceAdapters(std::size_t limit, std::vector<Move>& moves) {
+  std::vector<Index> changed;
+  changed.swap(this->changed_adapters);
+  std::ranges::sort(changed, [&](Index left, Index right) {
+    return this->adapters[left].rate > this->adapters[right].rate ||
+           (this->adapters[left].rate == this->adapters[right].rate &&
+            left < right);
+  });
+  changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
+  for (const Index adapter : changed) {
+    const Adapter& entry = this->adapters[adapter];
+    std::vector<Index> serving = this->Serving(entry.model);
+    std::erase_if(serving, [&](Index target) {
+      return this->FindCopy(target, entry.model)->state != CopyState::kLoaded;
+    });
+    if (serving.empty() || entry.rate <= 0) {
+      continue;
+    }
+    const double all = std::max(
+        entry.rate, this->models[entry.model].demand.requests_per_second);
+    const auto copies = static_cast<double>(serving.size());
+    const double wanted = std::clamp(
+        std::ceil(copies * kExtraCopies * entry.rate / all), 1.0, copies);
+    const auto absent = std::ranges::partition(serving, [&](Index target) {
+      const auto& loaded = this->targets[target].adapters;
+      return std::ranges::find(loaded, adapter) != loaded.end();
+    });
+    auto have = static_cast<double>(absent.begin() - serving.begin());
+    for (const Index target : absent) {
+      if (have >= wanted) {
+        break;
+      }
+      if (limit == 0) {
+        this->changed_adapters.push_back(adapter);
+        break;
+      }
+      if (this->LoadAdapter(adapter, target, moves)) {
+        --limit;
+        ++have;
+      }
+    }
+  }
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/store_share.cc
@@ -0,0 +1,295 @@
+#include "pimentospar/store_share.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace pimentospar {
+
+namespace {
+
+PlanRecordId DrawId(RandomSource& random) {
+  char text[33];
+  std::snprintf(text, sizeof text, "%016llx%016llx",
+                static_cast<unsigned long long>(random.Next()),
+                static_cast<unsigned long long>(random.Next()));
+  return PlanRecordId(text);
+}
+
+Duration Interval(double per_second) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1.0 / per_second));
+}
+
+}  // namespace
+
+PlannerLease::PlannerLease(const Clock& clock,
+                           RandomSource& random,
+                           InstanceId self,
+                           LeaseOptions options)
+    : clock(clock),
+      random(random),
+      self(self),
+      options(options),
+      heard_at(clock.Now()) {}
+
+bool PlannerLease::OnLease(const LeaseRecord& record) {
+  const auto sent_at = this->TakePending(record.id);
+  const auto newest =
+      this->current ? std::optional(this->current->offset) : std::nullopt;
+  if (record.previous != newest) {
+    return false;
+  }
+  this->current = record;
+  this->heard_at = this->clock.Now();
+  this->acquire_at.reset();
+  this->replace_own = false;
+  this->held_until.reset();
+  if (record.instance == this->self && sent_at) {
+    this->held_until = *sent_at + record.duration;
+  }
+  return true;
+}
+
+void PlannerLease::OnRenew(const RenewRecord& record) {
+  const auto sent_at = this->TakePending(record.id);
+  if (!this->IsCurrent(record.lease)) {
+    return;
+  }
+  this->heard_at = this->clock.Now();
+  this->acquire_at.reset();
+  if (this->held_until && sent_at) {
+    this->held_until =
+        std::max(*this->held_until, *sent_at + this->current->duration);
+  }
+}
+
+void PlannerLease::OnTail(TimePoint read_started) {
+  this->tail_read_at = read_started;
+  this->tail_seen = true;
+}
+
+std::optional<LeaseAction> PlannerLease::Step() {
+  if (!this->tail_seen || this->AwaitsAppend()) {
+    return std::nullopt;
+  }
+  if (const auto lease = this->Held()) {
+    return this->StepHolder(*lease);
+  }
+  return this->StepCandidate();
+}
+
+std::optional<LogOffset> PlannerLease::Held() const {
+  if (!this->held_until || this->clock.Now() >= *this->held_until) {
+    return std::nullopt;
+  }
+  return this->current->offset;
+}
+
+bool PlannerLease::IsCurrent(LogOffset lease) const {
+  return this->current && this->current->offset == lease;
+}
+
+bool PlannerLease::HasLapsed() const {
+  return !this->current ||
+         this->clock.Now() >= this->heard_at + this->current->duration;
+}
+
+std::optional<TimePoint> PlannerLease::TakePending(const PlanRecordId& id) {
+  const auto found = std::ranges::find(this->pending, id, &Pending::id);
+  if (found == this->pending.end()) {
+    return std::nullopt;
+  }
+  const TimePoint sent_at = found->sent_at;
+  this->pending.erase(found);
+  return sent_at;
+}
+
+PlanRecordId PlannerLease::Remember() {
+  if (this->pending.size() >= this->options.max_pending) {
+    this->pending.erase(this->pending.begin());
+  }
+  this->last_sent = this->clock.Now();
+  this->pending.push_back({DrawId(this->random), this->last_sent});
+  return this->pending.back().id;
+}
+
+// An append is settled by reading: it is sent again only after a read that
+// began later has not shown it.
+bool PlannerLease::AwaitsAppend() const {
+  return !this->pending.empty() &&
+         this->pending.back().sent_at == this->last_sent &&
+         (this->clock.Now() < this->last_sent + this->options.append_timeout ||
+          this->tail_read_at <= this->last_sent);
+}
+
+std::optional<LeaseAction> PlannerLease::StepHolder(LogOffset lease) {
+  if (this->replace_own) {
+    return AppendLease{this->Remember(), this->self, lease,
+                       this->options.duration};
+  }
+  if (this->clock.Now() < this->last_sent + this->options.renew_every) {
+    return std::nullopt;
+  }
+  return AppendRenew{this->Remember(), lease};
+}
+
+std::optional<LeaseAction> PlannerLease::StepCandidate() {
+  if (!this->HasLapsed()) {
+    return std::nullopt;
+  }
+  const TimePoint now = this->clock.Now();
+  if (!this->acquire_at) {
+    const auto spread = this->options.acquire_spread.count();
+    this->acquire_at =
+        now + Duration(static_cast<Duration::rep>(this->random.Unit() *
+                                                  static_cast<double>(spread)));
+  }
+  if (now < *this->acquire_at) {
+    return std::nullopt;
+  }
+  this->acquire_at.reset();
+  const auto previous =
+      this->current ? std::optional(this->current->offset) : std::nullopt;
+  return AppendLease{this->Remember(), this->self, previous,
+                     this->options.duration};
+}
+
+PlannerGrants::PlannerGrants(const Clock& clock,
+                             RandomSource& random,
+                             StoreLimits limits,
+                             ShareOptions options)
+    : clock(clock), random(random), limits(limits), options(options) {}
+
+void PlannerGrants::OnGrant(const GrantRecord& record) {
+  std::erase_if(this->unseen,
+                [&](const Unseen& sent) { return sent.id == record.id; });
+  const TimePoint now = this->clock.Now();
+  this->open[record.offset] = {record.target, now + record.lifetime};
+  const auto interval =
+      Interval(this->limits.loads_per_second * this->options.planner_rate);
+  this->next_grant = std::max(this->next_grant, now + interval);
+}
+
+void PlannerGrants::OnAgentClear(const TargetId& target, LogOffset through) {
+  for (auto& [offset, grant] : this->open) {
+    if (offset <= through && grant.target == target) {
+      grant.cleared = true;
+    }
+  }
+}
+
+void PlannerGrants::OnTargetGone(const TargetId& target) {
+  std::erase_if(this->open, [&](const auto& entry) {
+    return entry.second.target == target;
+  });
+}
+
+bool PlannerGrants::CanGrant() {
+  this->CloseExpired();
+  return this->OpenCount() < this->Limit() &&
+         this->clock.Now() >= this->next_grant;
+}
+
+std::optional<AppendGrant> PlannerGrants::TryGrant(LogOffset lease,
+                                                   const TargetId& target,
+                                                   const ModelId& model) {
+  if (!this->CanGrant()) {
+    return std::nullopt;
+  }
+  const TimePoint now = this->clock.Now();
+  this->next_grant = now + Interval(this->limits.loads_per_second *
+                                    this->options.planner_rate);
+  this->unseen.push_back({DrawId(this->random), now});
+  return AppendGrant{this->unseen.back().id, lease, target, model,
+                     this->options.lifetime};
+}
+
+bool PlannerGrants::NeedsNewLease() const {
+  const TimePoint now = this->clock.Now();
+  return std::ranges::any_of(this->unseen, [&](const Unseen& sent) {
+    return now >= sent.sent_at + this->options.unseen_limit;
+  });
+}
+
+std::size_t PlannerGrants::OpenCount() const {
+  return this->open.size() + this->unseen.size();
+}
+
+std::size_t PlannerGrants::Limit() const {
+  return std::max<std::size_t>(this->limits.parallel_loads, 2) - 1;
+}
+
+void PlannerGrants::CloseExpired() {
+  const TimePoint now = this->clock.Now();
+  std::erase_if(this->open, [&](const auto& entry) {
+    return entry.second.cleared && now >= entry.second.deadline;
+  });
+}
+
+void AgentGrants::OnGrant(const GrantRecord& record) {
+  if (!this->base) {
+    return;
+  }
+  this->held[record.offset] = {*this->base + record.lifetime};
+}
+
+bool AgentGrants::Start(LogOffset grant) {
+  const auto found = this->held.find(grant);
+  if (found == this->held.end() || found->second.started ||
+      this->clock.Now() + this->options.transfer_time >
+          found->second.deadline) {
+    return false;
+  }
+  found->second.started = true;
+  return true;
+}
+
+std::vector<LogOffset> AgentGrants::DropExpired() {
+  std::vector<LogOffset> dropped;
+  const TimePoint now = this->clock.Now();
+  std::erase_if(this->held, [&](const auto& entry) {
+    const Duration kept =
+        entry.second.started ? Duration{} : this->options.transfer_time;
+    const bool expired = now + kept >= entry.second.deadline;
+    if (expired) {
+      dropped.push_back(entry.first);
+    }
+    return expired;
+  });
+  return dropped;
+}
+
+FallbackShare::FallbackShare(const Clock& clock,
+                             StoreLimits limits,
+                             ShareOptions options)
+    : clock(clock), limits(limits), options(options) {}
+
+void FallbackShare::OnOwner(bool is_owner) {
+  if (is_owner && !this->owner) {
+    this->not_before = this->clock.Now() + this->options.lifetime;
+  }
+  this->owner = is_owner;
+}
+
+std::optional<FallbackGrantId> FallbackShare::TryGrant(
+    const FallbackRequest& request,
+    TimePoint planner_heard) {
+  const TimePoint now = this->clock.Now();
+  if (!this->owner || this->limits.parallel_loads < 2 ||
+      request.loaded_anywhere || this->open || now < this->not_before ||
+      now < planner_heard + this->options.planner_timeout) {
+    return std::nullopt;
+  }
+  this->not_before = now + Interval(this->limits.loads_per_second *
+                                    (1.0 - this->options.planner_rate));
+  this->open = FallbackGrantId{++this->last_id};
+  return this->open;
+}
+
+void FallbackShare::OnEnded(FallbackGrantId grant) {
+  if (this->open == grant) {
+    this->open.reset();
+  }
+}
+
+}  // namespace pimentospar
