Append grant_end until it is read, and test the store share

Change: AgentGrants repeats grant_end until it reads it, and also ends the grants of its predecessor after their lifetime. store_share_test drives four processes over a log with late and lost appends, pauses and restarts.

--- a/bench/fake_policies.h
+++ b/bench/fake_policies.h
@@ -85,9 +85,10 @@
 /// planner runs until it finds nothing better.
 class PlacementSolver {
  public:
-  explicit PlacementSolver(const FakeEngines& engines)
+  /// `fill` also uses the memory that the demand does not need for more copies.
+  explicit PlacementSolver(const FakeEngines& engines, bool fill = false)
       : engines(engines),
-        planner(clock, MakeConfiguration(engines), Options(engines)) {
+        planner(clock, MakeConfiguration(engines), Options(engines, fill)) {
     for (std::size_t i = 0; i < engines.targets.size(); ++i) {
       this->planner.OnTarget(MakeReport(engines, i));
     }
@@ -122,8 +123,9 @@
   }
 
  private:
-  static PlannerOptions Options(const FakeEngines& engines) {
+  static PlannerOptions Options(const FakeEngines& engines, bool fill) {
     PlannerOptions options;
+    options.prepare_reserve = fill ? options.prepare_reserve : 1.0;
     options.engine = {
         engines.costs.step_seconds, engines.costs.weight_bytes_per_second,
         engines.costs.sequence_seconds, engines.costs.prefill_token_seconds};
--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -19,10 +19,17 @@
 // Runs of different seeds are independent; four at a time.
 constexpr std::uint64_t kParallel = 4;
 
-enum class PolicyKind : std::uint8_t { kStatic, kOnDemand, kPlanned, kOracle };
+enum class PolicyKind : std::uint8_t {
+  kStatic,
+  kStaticFilled,
+  kOnDemand,
+  kPlanned,
+  kOracle
+};
 
-constexpr std::array<std::pair<PolicyKind, const char*>, 4> kPolicies = {
+constexpr std::array<std::pair<PolicyKind, const char*>, 5> kPolicies = {
     {{PolicyKind::kStatic, "static"},
+     {PolicyKind::kStaticFilled, "static-filled"},
      {PolicyKind::kOnDemand, "on-demand"},
      {PolicyKind::kPlanned, "planned"},
      {PolicyKind::kOracle, "oracle"}}};
@@ -50,6 +57,7 @@
                      const DemandPlan& plan) {
   switch (kind) {
     case PolicyKind::kStatic:
+    case PolicyKind::kStaticFilled:
       return AnyPolicy(std::in_place_type<StaticPolicy>, engines);
     case PolicyKind::kOnDemand:
       return AnyPolicy(std::in_place_type<OnDemandPolicy>, engines);
@@ -83,10 +91,10 @@
   }
 }
 
-// All policies start from the same placement, made for the mean demand of the
-// run.
-void PlaceFirst(FakeEngines& engines, const DemandPlan& plan) {
-  PlacementSolver solver(engines);
+// All policies start from a placement made for the mean demand of the run; that
+// of `static-filled` also uses the rest of the memory for more copies.
+void PlaceFirst(FakeEngines& engines, const DemandPlan& plan, bool fill) {
+  PlacementSolver solver(engines, fill);
   for (const Move& move : solver.Solve(plan.Mean())) {
     const std::size_t target = IndexOf(move.target.value);
     const std::size_t model = IndexOf(move.model.value);
@@ -112,7 +120,7 @@
   const DemandPlan plan =
       DrawDemand(deployment, demand, options.minutes, world);
   FakeEngines engines(deployment, std::move(models), accelerators, routing);
-  PlaceFirst(engines, plan);
+  PlaceFirst(engines, plan, kind == PolicyKind::kStaticFilled);
   AnyPolicy policy = MakePolicy(kind, engines, plan);
   const std::size_t seconds = options.minutes * 60;
   for (std::size_t second = 0; second < seconds; ++second) {
--- a/include/pimentospar/placement.h
+++ b/include/pimentospar/placement.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -31,8 +32,9 @@
 struct DemandOptions {
   /// A lasting rise shows in the estimate within about twice this time.
   Duration rise = std::chrono::seconds(4);
-  /// A fall shows to nine tenths within about twice this time.
-  Duration fall = std::chrono::seconds(250);
+  /// A fall is forgotten to a hundredth within about 4.6 times this time: 10
+  /// min.
+  Duration fall = std::chrono::seconds(130);
   /// Number of standard deviations of Poisson arrivals that count as noise.
   double noise_deviations = 2.5;
   /// Part of the same time on earlier days that the forecast counts on.
@@ -133,6 +135,8 @@
   kLostCopy,
   /// A target of the model has more load than it can carry in time.
   kOverload,
+  /// Memory is free and a further copy lets the next rise be served at once.
+  kPrepare,
   /// Another item needs the memory more.
   kMakeRoom,
   /// Serving at fewer targets relieves an overloaded one.
@@ -181,6 +185,13 @@
   double kv_reserve = 0.08;
   /// Load at which targets begin to miss latency targets.
   double comfortable_load = 0.65;
+  /// Part of a target's capacity that preparing copies leave free; 1 prepares
+  /// none.
+  double prepare_reserve = 0.4;
+  /// Number of copies of a model up to which copies are prepared.
+  std::size_t prepare_copies = 6;
+  /// A model that was unloaded somewhere is not prepared again for this long.
+  Duration prepare_pause = std::chrono::minutes(20);
   /// Bounds of the search of one step.
   std::size_t max_hot_targets = 8;
   std::size_t max_models_per_target = 16;
@@ -256,7 +267,8 @@
     /// Targets with a copy, in whatever state.
     std::vector<Index> targets;
     bool lost = false;
-    TimePoint moved_at{};
+    double peak_rate = 0;
+    std::optional<TimePoint> unloaded_at;
   };
   struct Adapter {
     AdapterId id;
@@ -327,6 +339,8 @@
   void RestoreMissing(std::size_t& grants, std::vector<Move>& moves);
   void RestoreLost(std::size_t& grants, std::vector<Move>& moves);
   void RelieveHot(std::size_t& grants, std::vector<Move>& moves);
+  void Prepare(std::size_t& grants, std::vector<Move>& moves);
+  [[nodiscard]] std::optional<Index> PrepareTarget(Index model) const;
   void LeaveTargets(std::size_t& grants, std::vector<Move>& moves);
   [[nodiscard]] Action BestAction(Index target, bool may_load) const;
 
--- a/include/pimentospar/store_share.h
+++ b/include/pimentospar/store_share.h
@@ -151,6 +151,8 @@
   /// Time without a valid lease or renewal after which the fallback share is
   /// used.
   Duration planner_timeout = std::chrono::seconds(30);
+  /// Time after which an unseen `grant_end` is appended again.
+  Duration end_retry = std::chrono::seconds(5);
   /// Age of an unseen own grant at which the planner replaces its lease to void
   /// it.
   Duration unseen_limit = std::chrono::seconds(5);
@@ -241,16 +243,24 @@
   void OnGrant(const GrantRecord& record);
   /// Returns whether the load may start now; a grant is used once.
   [[nodiscard]] bool Start(LogOffset grant);
-  /// Tells that the load has ended, in whatever way; its `grant_end` is due.
-  void OnLoadEnded(LogOffset grant) { this->held.erase(grant); }
-  /// Removes and returns the grants that can no longer be used; the adapter
-  /// aborts their transfers and appends `grant_end` for each.
+  /// Tells that the load has ended, in whatever way.
+  void OnLoadEnded(LogOffset grant);
+  /// Feeds a `grant_end` record as read from the log.
+  void OnGrantEnd(LogOffset grant) { this->held.erase(grant); }
+  /// Returns the grants that can no longer be used, once each; the adapter
+  /// aborts their transfers.
   [[nodiscard]] std::vector<LogOffset> DropExpired();
+  /// Returns the ended and dropped grants whose `grant_end` is to be appended,
+  /// and again every few seconds until it is read; a repeated record changes
+  /// nothing.
+  [[nodiscard]] std::vector<LogOffset> EndsDue();
 
  private:
+  enum class Use : std::uint8_t { kUnused, kStarted, kEnded };
   struct Held {
     TimePoint deadline;
-    bool started = false;
+    Use use = Use::kUnused;
+    TimePoint end_due{};
   };
 
   const Clock& clock;
--- a/src/store_share.cc
+++ b/src/store_share.cc
@@ -227,38 +227,59 @@
 }
 
 void AgentGrants::OnGrant(const GrantRecord& record) {
-  if (!this->base) {
+  if (this->base) {
+    this->held[record.offset] = {*this->base + record.lifetime};
     return;
   }
-  this->held[record.offset] = {*this->base + record.lifetime};
+  // A predecessor that is only paused may still be loading; it stops by then.
+  this->held[record.offset] = {this->clock.Now() + record.lifetime,
+                               Use::kStarted};
 }
 
 bool AgentGrants::Start(LogOffset grant) {
   const auto found = this->held.find(grant);
-  if (found == this->held.end() || found->second.started ||
+  if (found == this->held.end() || found->second.use != Use::kUnused ||
       this->clock.Now() + this->options.transfer_time >
           found->second.deadline) {
     return false;
   }
-  found->second.started = true;
+  found->second.use = Use::kStarted;
   return true;
 }
 
+void AgentGrants::OnLoadEnded(LogOffset grant) {
+  const auto found = this->held.find(grant);
+  if (found != this->held.end()) {
+    found->second.use = Use::kEnded;
+  }
+}
+
 std::vector<LogOffset> AgentGrants::DropExpired() {
   std::vector<LogOffset> dropped;
   const TimePoint now = this->clock.Now();
-  std::erase_if(this->held, [&](const auto& entry) {
+  for (auto& [offset, grant] : this->held) {
     const Duration kept =
-        entry.second.started ? Duration{} : this->options.transfer_time;
-    const bool expired = now + kept >= entry.second.deadline;
-    if (expired) {
-      dropped.push_back(entry.first);
+        grant.use == Use::kUnused ? this->options.transfer_time : Duration{};
+    if (grant.use != Use::kEnded && now + kept > grant.deadline) {
+      grant.use = Use::kEnded;
+      dropped.push_back(offset);
     }
-    return expired;
-  });
+  }
   return dropped;
 }
 
+std::vector<LogOffset> AgentGrants::EndsDue() {
+  std::vector<LogOffset> due;
+  const TimePoint now = this->clock.Now();
+  for (auto& [offset, grant] : this->held) {
+    if (grant.use == Use::kEnded && now >= grant.end_due) {
+      grant.end_due = now + this->options.end_retry;
+      due.push_back(offset);
+    }
+  }
+  return due;
+}
+
 FallbackShare::FallbackShare(const Clock& clock,
                              StoreLimits limits,
                              ShareOptions options)
--- /dev/null
+++ b/test/store_share_test.cc
@@ -0,0 +1,390 @@
+#define BOOST_TEST_MODULE store_share
+#include "pimentospar/store_share.h"
+
+#include <rapidcheck.h>
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <memory>
+
+namespace pimentospar {
+namespace {
+
+using std::chrono::seconds;
+
+struct EndRecord {
+  LogOffset grant;
+};
+using Record = std::variant<LeaseRecord, RenewRecord, GrantRecord, EndRecord>;
+
+// An append that lands at a later time, or never.
+struct Flight {
+  TimePoint lands;
+  Record record;
+};
+
+struct Load {
+  std::size_t agent;
+  std::uint64_t instance;
+  LogOffset grant;
+  bool fallback;
+  TimePoint ends;
+};
+
+constexpr std::size_t kAgents = 4;
+const StoreLimits kLimits{2.0, 3, 25};
+
+TargetId Name(std::size_t agent) {
+  return TargetId("t" + std::to_string(agent));
+}
+
+// One process beside each target; each may become the planner, the first one
+// owns the fallback share.
+struct Process {
+  Process(const Clock& clock, RandomSource& random, std::uint64_t instance)
+      : instance(instance),
+        lease(clock, random, InstanceId{instance}, {}),
+        grants(clock, random, kLimits, {}),
+        agent(clock, {}),
+        fallback(clock, kLimits, {}) {}
+
+  std::uint64_t instance;
+  PlannerLease lease;
+  PlannerGrants grants;
+  AgentGrants agent;
+  FallbackShare fallback;
+  std::size_t read = 0;
+  std::deque<LogOffset> usable;
+};
+
+class System {
+ public:
+  explicit System(std::uint64_t seed) : random(seed) {
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      this->Restart(i);
+    }
+  }
+
+  void Restart(std::size_t index) {
+    // The load of the old process ends with its connection.
+    std::erase_if(this->loads, [&](const Load& l) { return l.agent == index; });
+    this->processes[index] =
+        std::make_unique<Process>(this->clock, this->random, ++this->instances);
+    this->processes[index]->fallback.OnOwner(index == 0);
+  }
+
+  void Tick() {
+    this->clock.Advance(std::chrono::milliseconds(500));
+    const TimePoint now = this->clock.Now();
+    std::erase_if(this->flights, [&](const Flight& flight) {
+      if (flight.lands <= now) {
+        this->log.push_back(flight.record);
+      }
+      return flight.lands <= now;
+    });
+    this->EndLoads();
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      if (!this->paused[i]) {
+        this->Run(i);
+      }
+    }
+  }
+
+  [[nodiscard]] std::size_t Active() const { return this->loads.size(); }
+
+  ManualClock clock;
+  SeededRandom random;
+  std::array<bool, kAgents> paused{};
+  int loss_percent = 0;
+  std::vector<TimePoint> starts;
+  std::size_t fallback_starts = 0;
+
+ private:
+  // A third of the appends is slow when any are lost; a lost answer looks the
+  // same as a lost append to the writer.
+  void Append(Record record) {
+    const auto draw = static_cast<int>(this->random.Below(100));
+    if (draw < this->loss_percent) {
+      return;
+    }
+    const bool slow = draw < 2 * this->loss_percent;
+    this->flights.push_back(
+        {this->clock.Now() +
+             (slow ? seconds(this->random.Below(40)) : seconds(0)),
+         std::move(record)});
+  }
+
+  void Read(Process& process, std::size_t index) {
+    const TimePoint started = this->clock.Now();
+    for (; process.read < this->log.size(); ++process.read) {
+      const LogOffset offset{process.read};
+      const Record& record = this->log[process.read];
+      if (const auto* lease = std::get_if<LeaseRecord>(&record)) {
+        LeaseRecord placed = *lease;
+        placed.offset = offset;
+        if (process.lease.OnLease(placed)) {
+          process.grants.OnLeaseReplaced();
+        }
+      } else if (const auto* renew = std::get_if<RenewRecord>(&record)) {
+        process.lease.OnRenew(*renew);
+      } else if (const auto* end = std::get_if<EndRecord>(&record)) {
+        process.grants.OnGrantEnd(end->grant);
+        process.agent.OnGrantEnd(end->grant);
+      } else {
+        GrantRecord grant = std::get<GrantRecord>(record);
+        grant.offset = offset;
+        if (!process.lease.IsCurrent(grant.lease)) {
+          continue;
+        }
+        process.grants.OnGrant(grant);
+        if (grant.target == Name(index)) {
+          process.agent.OnGrant(grant);
+          process.usable.push_back(offset);
+        }
+      }
+    }
+    process.lease.OnTail(started);
+    process.agent.OnTail(started);
+  }
+
+  void Run(std::size_t index) {
+    Process& process = *this->processes[index];
+    this->Read(process, index);
+    while (const auto action = process.lease.Step()) {
+      if (const auto* lease = std::get_if<AppendLease>(&*action)) {
+        this->Append(LeaseRecord{
+            {}, lease->id, lease->instance, lease->previous, lease->duration});
+      } else {
+        const auto& renew = std::get<AppendRenew>(*action);
+        this->Append(RenewRecord{renew.id, renew.lease});
+      }
+    }
+    if (const auto held = process.lease.Held()) {
+      const std::size_t target = this->random.Below(kAgents);
+      if (const auto grant =
+              process.grants.TryGrant(*held, Name(target), ModelId("m"))) {
+        this->Append(GrantRecord{{},
+                                 grant->id,
+                                 grant->lease,
+                                 grant->target,
+                                 grant->model,
+                                 grant->lifetime});
+      }
+      if (process.grants.NeedsNewLease()) {
+        process.lease.RequestNewLease();
+      }
+    }
+    this->UseGrants(process, index);
+    this->AskFallback(process, index);
+  }
+
+  void UseGrants(Process& process, std::size_t index) {
+    while (!process.usable.empty() && this->random.Below(4) == 0) {
+      const LogOffset grant = process.usable.front();
+      process.usable.pop_front();
+      if (process.agent.Start(grant)) {
+        this->Start(process, index, grant, false);
+      }
+    }
+    // The transfers of dropped grants are aborted.
+    for (const LogOffset grant : process.agent.DropExpired()) {
+      std::erase_if(this->loads, [&](const Load& load) {
+        return !load.fallback && load.agent == index && load.grant == grant;
+      });
+    }
+    for (const LogOffset grant : process.agent.EndsDue()) {
+      this->Append(EndRecord{grant});
+    }
+  }
+
+  void AskFallback(Process& process, std::size_t index) {
+    if (this->paused[0]) {
+      return;
+    }
+    Process& owner = *this->processes[0];
+    const FallbackRequest request{Name(index), ModelId("m"), false};
+    if (const auto grant =
+            owner.fallback.TryGrant(request, owner.lease.LastHeard())) {
+      ++this->fallback_starts;
+      this->Start(process, index, LogOffset{grant->value}, true);
+    }
+  }
+
+  // A transfer takes up to the time that a grant keeps for it.
+  void Start(Process& process, std::size_t index, LogOffset grant, bool own) {
+    this->starts.push_back(this->clock.Now());
+    this->loads.push_back(
+        {index, process.instance, grant, own,
+         this->clock.Now() + seconds(this->random.Below(30))});
+  }
+
+  void EndLoads() {
+    std::erase_if(this->loads, [&](const Load& load) {
+      if (this->clock.Now() < load.ends) {
+        return false;
+      }
+      if (load.fallback) {
+        this->processes[0]->fallback.OnEnded(FallbackGrantId{load.grant.value});
+      } else {
+        this->processes[load.agent]->agent.OnLoadEnded(load.grant);
+      }
+      return true;
+    });
+  }
+
+  std::vector<Record> log;
+  std::vector<Flight> flights;
+  std::vector<Load> loads;
+  std::array<std::unique_ptr<Process>, kAgents> processes;
+  std::uint64_t instances = 0;
+};
+
+// Guards against more loads than the store allows, whatever is paused, lost,
+// late or restarted: in parallel, and in any window within the rate and one
+// burst.
+BOOST_AUTO_TEST_CASE(StoreLimitsHold) {
+  std::size_t starts = 0;
+  std::size_t fallback_starts = 0;
+  const bool held = rc::check([&] {
+    System system(*rc::gen::arbitrary<std::uint64_t>());
+    const auto script = *rc::gen::container<std::vector<int>>(
+        80, rc::gen::resize(100, rc::gen::inRange(0, 60)));
+    for (const int step : script) {
+      const auto agent = static_cast<std::size_t>(step) % kAgents;
+      if (step < 4) {
+        system.paused[agent] = !system.paused[agent];
+      } else if (step < 6) {
+        system.Restart(agent);
+      } else if (step < 12) {
+        system.loss_percent = (step - 6) * 6;
+      }
+      if (step == 12) {
+        system.loss_percent = 100;
+      }
+      for (int tick = 0; tick < step; ++tick) {
+        system.Tick();
+        RC_ASSERT(system.Active() <= kLimits.parallel_loads);
+      }
+    }
+    const std::size_t burst = kLimits.parallel_loads + 1;
+    for (std::size_t i = burst; i < system.starts.size(); ++i) {
+      const double span = std::chrono::duration<double>(
+                              system.starts[i] - system.starts[i - burst])
+                              .count();
+      RC_ASSERT((span + 0.5) * kLimits.loads_per_second >= 1.0);
+    }
+    starts += system.starts.size();
+    fallback_starts += system.fallback_starts;
+  });
+  BOOST_TEST(held);
+  BOOST_TEST(starts > 1000U);
+  BOOST_TEST(fallback_starts > 20U);
+}
+
+struct LeaseFixture {
+  ManualClock clock;
+  SeededRandom random{1};
+  PlannerLease first{clock, random, InstanceId{1}, {}};
+  PlannerLease second{clock, random, InstanceId{2}, {}};
+
+  AppendLease Acquire(PlannerLease& lease) {
+    lease.OnTail(this->clock.Now());
+    for (int i = 0; i < 40; ++i) {
+      this->clock.Advance(seconds(1));
+      lease.OnTail(this->clock.Now());
+      if (const auto action = lease.Step()) {
+        return std::get<AppendLease>(*action);
+      }
+    }
+    BOOST_FAIL("no lease was asked for");
+    return {};
+  }
+  static LeaseRecord Place(const AppendLease& append, std::uint64_t offset) {
+    return {LogOffset{offset}, append.id, append.instance, append.previous,
+            append.duration};
+  }
+  void Feed(const LeaseRecord& record) {
+    this->first.OnLease(record);
+    this->second.OnLease(record);
+  }
+};
+
+// Guards against two winners of one lapse, and against a holder that acts on
+// after others consider its lease lapsed.
+BOOST_FIXTURE_TEST_CASE(FirstNamedLeaseWinsAndHolderStopsFirst, LeaseFixture) {
+  const AppendLease one = this->Acquire(this->first);
+  const AppendLease two = this->Acquire(this->second);
+  this->clock.Advance(seconds(1));
+  this->Feed(Place(one, 7));
+  BOOST_TEST(!this->second.OnLease(Place(two, 8)));
+  BOOST_TEST(!this->second.Held().has_value());
+  BOOST_TEST(!this->second.HasLapsed());
+  // The time since the append counts at the holder, not at the reader.
+  BOOST_TEST(this->first.IsCurrent(LogOffset{7}));
+  for (int i = 0; i < 24 && !this->second.HasLapsed(); ++i) {
+    this->clock.Advance(std::chrono::milliseconds(500));
+  }
+  BOOST_TEST(this->second.HasLapsed());
+  BOOST_TEST(!this->first.Held().has_value());
+}
+
+// Guards against a planner that was paused and goes on under a replaced lease,
+// and against records of that lease being followed.
+BOOST_FIXTURE_TEST_CASE(RecordsOfAnOldLeaseAreVoid, LeaseFixture) {
+  this->Feed(Place(this->Acquire(this->first), 0));
+  this->clock.Advance(seconds(3));
+  this->first.OnTail(this->clock.Now());
+  const auto renew = std::get<AppendRenew>(*this->first.Step());
+  const LeaseRecord next = Place(this->Acquire(this->second), 1);
+  BOOST_TEST((next.previous == LogOffset{0}));
+  this->Feed(next);
+  this->first.OnRenew({renew.id, renew.lease});
+  BOOST_TEST(!this->first.Held().has_value());
+  BOOST_TEST(!this->first.IsCurrent(LogOffset{0}));
+  BOOST_TEST((this->second.Held() == LogOffset{1}));
+}
+
+// Guards against a second append while the fate of the first is unknown, and
+// against losing the lease to a lost answer.
+BOOST_FIXTURE_TEST_CASE(LostAnswerIsSettledByReading, LeaseFixture) {
+  const AppendLease one = this->Acquire(this->first);
+  const TimePoint before = this->clock.Now();
+  this->clock.Advance(seconds(20));
+  this->first.OnTail(before);
+  BOOST_TEST(!this->first.Step().has_value());
+  this->first.OnTail(this->clock.Now());
+  const AppendLease again = this->Acquire(this->first);
+  this->Feed(Place(again, 0));
+  BOOST_TEST((this->first.Held() == LogOffset{0}));
+  BOOST_TEST(!this->first.OnLease(Place(one, 1)));
+  BOOST_TEST((this->first.Held() == LogOffset{0}));
+}
+
+// Guards against a slot that is given again while a silent agent may still use
+// it, and against one that is never given again.
+BOOST_AUTO_TEST_CASE(GrantStaysOpenUntilItsAgentHasDroppedIt) {
+  ManualClock clock;
+  SeededRandom random(1);
+  PlannerGrants grants(clock, random, {1.0, 2, 25}, {});
+  const auto grant = grants.TryGrant(LogOffset{0}, Name(1), ModelId("m"));
+  BOOST_REQUIRE(grant.has_value());
+  grants.OnGrant(
+      {LogOffset{1}, grant->id, {}, Name(1), ModelId("m"), grant->lifetime});
+  clock.Advance(std::chrono::hours(1));
+  BOOST_TEST(!grants.CanGrant());
+  grants.OnAgentClear(Name(1), LogOffset{0});
+  BOOST_TEST(!grants.CanGrant());
+  grants.OnAgentClear(Name(1), LogOffset{1});
+  BOOST_TEST(grants.CanGrant());
+  // With one parallel load the planner has it and there is no fallback share.
+  PlannerGrants single(clock, random, {1.0, 1, 25}, {});
+  BOOST_TEST(single.Limit() == 1U);
+  FallbackShare fallback(clock, {1.0, 1, 25}, {});
+  fallback.OnOwner(true);
+  clock.Advance(std::chrono::hours(1));
+  BOOST_TEST(!fallback.TryGrant({Name(1), ModelId("m")}, {}).has_value());
+}
+
+}  // namespace
+}  // namespace pimentospar
