Test the planner and the demand tracker

Change: placement_test.cc. Conclusion: last copy, memory, restore order, hysteresis and spread hold.

--- /dev/null
+++ b/test/placement_test.cc
@@ -0,0 +1,320 @@
+#define BOOST_TEST_MODULE placement
+#include "pimentospar/placement.h"
+
+#include <rapidcheck.h>
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+#include "pimentospar/random.h"
+
+namespace pimentospar {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Bytes kGigabyte = 1'000'000'000;
+
+TargetId T(std::size_t i) {
+  return TargetId("t" + std::to_string(i));
+}
+ModelId M(std::size_t i) {
+  return ModelId("m" + std::to_string(i));
+}
+
+Configuration Make(std::size_t targets, std::size_t models, Bytes weight) {
+  Configuration configuration;
+  for (std::size_t i = 0; i < targets; ++i) {
+    const std::string centre = "d" + std::to_string(i % 4);
+    configuration.targets.push_back(
+        {T(i), RegionId("r" + std::to_string(i % 2)), DataCentreId(centre)});
+    configuration.targets.back().memory_bytes = 80 * kGigabyte;
+  }
+  for (std::size_t i = 0; i < models; ++i) {
+    configuration.models.push_back({M(i), "1", weight, 100'000});
+    configuration.models.back().adapters = {
+        {AdapterId("a" + std::to_string(i)), 200'000'000}};
+  }
+  return configuration;
+}
+
+// Engines that carry out moves, at once or late.
+struct World {
+  World(Configuration made, PlannerOptions options = {})
+      : configuration(std::move(made)),
+        planner(clock, configuration, options),
+        loaded(configuration.targets.size()),
+        live(configuration.targets.size(), true) {}
+
+  void Report(std::size_t target) {
+    TargetReport report;
+    report.target = T(target);
+    report.live = this->live[target];
+    report.capacity_bytes = 80 * kGigabyte;
+    report.adapter_pool_bytes = kGigabyte;
+    for (const ModelId& model : this->loaded[target]) {
+      report.copies.push_back({model, CopyState::kLoaded});
+    }
+    this->planner.OnTarget(report);
+  }
+  void ReportAll() {
+    for (std::size_t i = 0; i < this->loaded.size(); ++i) {
+      this->Report(i);
+    }
+  }
+  void SetDemand(std::size_t model, double rate) {
+    this->planner.OnDemand(M(model), {rate, 500, 200});
+  }
+  void Carry(const Move& move) {
+    auto& at = this->loaded[std::stoul(move.target.value.substr(1))];
+    if (move.kind == MoveKind::kLoad) {
+      at.insert(move.model);
+    } else if (move.kind == MoveKind::kUnload) {
+      at.erase(move.model);
+    }
+  }
+  std::vector<Move> Run(int steps, std::size_t grants = 1) {
+    std::vector<Move> all;
+    for (int i = 0; i < steps; ++i) {
+      this->clock.Advance(seconds(1));
+      this->ReportAll();
+      for (const Move& move : this->planner.Step({grants, 4})) {
+        this->Carry(move);
+        all.push_back(move);
+      }
+    }
+    return all;
+  }
+  [[nodiscard]] std::size_t Copies(std::size_t model) const {
+    std::size_t copies = 0;
+    for (std::size_t i = 0; i < this->loaded.size(); ++i) {
+      copies += this->live[i] ? this->loaded[i].count(M(model)) : 0;
+    }
+    return copies;
+  }
+
+  ManualClock clock;
+  Configuration configuration;
+  Planner planner;
+  std::vector<std::set<ModelId>> loaded;
+  std::vector<bool> live;
+};
+
+// Guards against the last confirmed copy being unloaded and against memory that
+// is planned twice, while reports, loads and demand come in any order and
+// targets fail.
+BOOST_AUTO_TEST_CASE(KeepsTheLastCopyAndTheMemory) {
+  std::size_t unloads = 0;
+  const bool held = rc::check([&] {
+    SeededRandom random(*rc::gen::arbitrary<std::uint64_t>());
+    PlannerOptions options;
+    options.min_stay = seconds(5);
+    options.attainment_move_cost = 0;
+    World world(Make(5, 10, 20 * kGigabyte), options);
+    std::vector<Move> late;
+    for (int step = 0; step < 300; ++step) {
+      world.clock.Advance(seconds(1));
+      world.SetDemand(random.Below(10), 20 * random.Unit() * random.Unit());
+      if (random.Below(60) == 0) {
+        const std::size_t target = random.Below(5);
+        world.live[target] = !world.live[target];
+        world.loaded[target].clear();
+        std::erase_if(late,
+                      [&](const Move& m) { return m.target == T(target); });
+        world.Report(target);
+      }
+      world.Report(random.Below(5));
+      for (const Move& move : world.planner.Step({random.Below(3), 0})) {
+        const auto index = std::stoul(move.target.value.substr(1));
+        RC_ASSERT(world.live[index]);
+        if (move.kind == MoveKind::kUnload) {
+          // Another copy is there and no order to unload it is on its way.
+          std::size_t others =
+              world.Copies(std::stoul(move.model.value.substr(1)));
+          others -= world.loaded[index].count(move.model);
+          for (const Move& sent : late) {
+            others -=
+                sent.kind == MoveKind::kUnload && sent.model == move.model;
+          }
+          RC_ASSERT(others >= 1U);
+          ++unloads;
+        }
+        late.push_back(move);
+      }
+      while (!late.empty() && random.Below(3) != 0) {
+        world.Carry(late.front());
+        const auto index = std::stoul(late.front().target.value.substr(1));
+        RC_ASSERT(world.loaded[index].size() * 20 <= 80U);
+        late.erase(late.begin());
+      }
+    }
+  });
+  BOOST_TEST(held);
+  BOOST_TEST(unloads > 500U);
+}
+
+// Guards against copies that come and go while the demand only fluctuates.
+BOOST_AUTO_TEST_CASE(DoesNotFlapUnderNoise) {
+  World world(Make(6, 12, 16 * kGigabyte));
+  SeededRandom random(7);
+  for (std::size_t model = 0; model < 12; ++model) {
+    world.SetDemand(model, 2.0);
+  }
+  world.Run(200);
+  std::size_t moves = 0;
+  for (int i = 0; i < 1200; ++i) {
+    for (std::size_t model = 0; model < 12; ++model) {
+      world.SetDemand(model, 2.0 * (0.7 + 0.6 * random.Unit()));
+    }
+    moves += world.Run(1).size();
+  }
+  BOOST_TEST(moves <= 6U);
+}
+
+// Guards against busy models waiting for idle ones after a loss, and against
+// moves that the store has no room for.
+BOOST_AUTO_TEST_CASE(RestoresInOrderOfNeed) {
+  PlannerOptions options;
+  options.prepare_reserve = 1;
+  World world(Make(4, 6, 20 * kGigabyte), options);
+  for (std::size_t model = 0; model < 6; ++model) {
+    world.SetDemand(model, 1.0 + static_cast<double>(model));
+  }
+  world.loaded = {{M(0), M(1), M(2)}, {M(3), M(4)}, {M(5)}, {}};
+  world.ReportAll();
+  BOOST_TEST(world.planner.Step({0, 0}).empty());
+  world.live[0] = world.live[1] = false;
+  world.ReportAll();
+  std::vector<ModelId> order;
+  for (const Move& move : world.planner.Step({4, 0})) {
+    BOOST_TEST((move.reason == MoveReason::kNoCopy));
+    BOOST_TEST((move.target == T(2) || move.target == T(3)));
+    order.push_back(move.model);
+  }
+  BOOST_TEST((order == std::vector<ModelId>{M(4), M(3), M(2), M(1)}));
+  // A lost copy of a model that still has one comes after those without any.
+  world.loaded[3] = {M(4), M(3), M(2)};
+  world.loaded[2] = {M(5), M(1)};
+  const auto moves = world.Run(1, 2);
+  BOOST_REQUIRE(!moves.empty());
+  BOOST_TEST((moves.front().model == M(0)));
+}
+
+// Guards against a move that costs more than it brings, against a tenfold rise
+// that is not met, and against both copies in one data centre.
+BOOST_AUTO_TEST_CASE(MovesMustEarnTheirCost) {
+  for (const Objective objective :
+       {Objective::kAttainment, Objective::kMoves}) {
+    Configuration configuration = Make(4, 3, 20 * kGigabyte);
+    configuration.objective = objective;
+    PlannerOptions options;
+    options.prepare_reserve = 1;
+    World world(std::move(configuration), options);
+    for (std::size_t model = 0; model < 3; ++model) {
+      world.SetDemand(model, 1.5);
+    }
+    world.Run(10);
+    BOOST_TEST(world.Run(200).empty());
+    world.SetDemand(0, 15);
+    const auto moves = world.Run(30);
+    BOOST_REQUIRE(!moves.empty());
+    BOOST_TEST((moves.front().reason == MoveReason::kOverload));
+    BOOST_TEST(moves.front().gain > 0);
+    BOOST_TEST(world.Copies(0) >= 2U);
+  }
+}
+
+// Guards against a new planner that unloads the last copy because its
+// predecessor's unload of the other one is not reported yet.
+BOOST_AUTO_TEST_CASE(TakesOverThePlanOfItsPredecessor) {
+  World world(Make(2, 5, 20 * kGigabyte));
+  world.loaded = {{M(0), M(1), M(2)}, {M(0), M(3)}};
+  world.ReportAll();
+  world.clock.Advance(seconds(600));
+  world.planner.OnPlanned({MoveKind::kUnload, T(1), M(0)});
+  world.ReportAll();
+  world.SetDemand(4, 50);
+  for (const Move& move : world.planner.Step({3, 0})) {
+    BOOST_TEST((move.kind != MoveKind::kUnload || move.model != M(0)));
+  }
+  world.planner.OnMoveRefused({MoveKind::kUnload, T(1), M(0)});
+  BOOST_TEST(world.planner.PredictedLoad(T(9)) == 0.0);
+}
+
+// Guards against adapters that displace each other in turn, and against more
+// adapter loads at once than the store allows.
+BOOST_AUTO_TEST_CASE(PlacesAdaptersByDemand) {
+  World world(Make(1, 3, 10 * kGigabyte));
+  world.configuration.models[0].adapters.clear();
+  for (std::size_t i = 0; i < 3; ++i) {
+    world.SetDemand(i, 1);
+    world.loaded[0].insert(M(i));
+  }
+  world.Report(0);
+  for (std::size_t i = 0; i < 3; ++i) {
+    world.planner.OnAdapterDemand(AdapterId("a" + std::to_string(i)),
+                                  0.1 * static_cast<double>(i + 1));
+  }
+  const auto first = world.planner.Step({0, 2});
+  BOOST_REQUIRE(first.size() == 2U);
+  BOOST_TEST((first[0].adapter == AdapterId("a2")));
+  BOOST_TEST((world.planner.Step({0, 2}).size() == 1U));
+  world.planner.OnAdapterDemand(AdapterId("a2"), 0.3);
+  BOOST_TEST(world.planner.Step({0, 2}).empty());
+}
+
+// Guards against a step that grows with the whole system: every model changes
+// between two steps, and the search stays within its bounds.
+BOOST_AUTO_TEST_CASE(FitsTheTargetSize) {
+  Configuration configuration = Make(610, 2000, 15 * kGigabyte);
+  for (TargetConfig& target : configuration.targets) {
+    target.accelerators = 4;
+  }
+  World world(std::move(configuration));
+  for (std::size_t model = 0; model < 2000; ++model) {
+    world.SetDemand(model, 0.5);
+  }
+  world.Run(30, 100);
+  for (std::size_t model = 0; model < 2000; ++model) {
+    BOOST_REQUIRE(world.Copies(model) >= 1U);
+    world.SetDemand(model, model % 10 == 0 ? 5.0 : 0.3);
+  }
+  world.clock.Advance(seconds(1));
+  const auto moves = world.planner.Step({8, 0});
+  BOOST_TEST(moves.size() <= 8U * 4);
+}
+
+// Guards against demand that is seen late, kept for ever, or made of single
+// requests, and against a daily rise that history has shown.
+BOOST_AUTO_TEST_CASE(DemandRisesFastAndFallsSlowly) {
+  ManualClock clock;
+  DemandTracker tracker(clock, {});
+  const auto run = [&](int time, double rate) {
+    for (int i = 0; i < time; ++i) {
+      clock.Advance(seconds(1));
+      tracker.OnReport(M(0), {rate, rate * 500, rate * 200});
+    }
+    return tracker.Current(M(0)).requests_per_second;
+  };
+  const double low = run(1200, 1);
+  BOOST_TEST(std::abs(low - 1) < 0.1);
+  BOOST_TEST(run(10, 10) > 8.0);
+  run(120, 10);
+  BOOST_TEST(run(60, 1) > 5.0);
+  BOOST_TEST(run(600, 1) < 1.5);
+  BOOST_TEST(tracker.Current(M(0)).output_tokens == 200.0,
+             boost::test_tools::tolerance(1e-6));
+  tracker.OnReport(M(1), {1, 500, 200});
+  BOOST_TEST(tracker.Current(M(1)).requests_per_second < 0.02);
+  for (int i = 0; i < 3 * 1800; ++i) {
+    run(1, 8);
+  }
+  clock.Advance(std::chrono::hours(24) - std::chrono::minutes(40));
+  BOOST_TEST(tracker.Current(M(0)).requests_per_second < 0.1);
+  BOOST_TEST(tracker.Forecast(M(0)).requests_per_second > 5.0);
+}
+
+}  // namespace
+}  // namespace pimentospar
