Remove the planner's prepared copies

Cause: copies prepared in free memory were to absorb bursts without a load. The copies mix models on targets and each active model lengthens the decoding step; the planner unloads them again. Change: reverted; the bench keeps static-filled, a second static baseline whose memory is filled with further copies.

--- a/bench/fake_policies.h
+++ b/bench/fake_policies.h
@@ -85,10 +85,9 @@
 /// planner runs until it finds nothing better.
 class PlacementSolver {
  public:
-  /// `fill` also uses the memory that the demand does not need for more copies.
-  explicit PlacementSolver(const FakeEngines& engines, bool fill = false)
+  explicit PlacementSolver(const FakeEngines& engines)
       : engines(engines),
-        planner(clock, MakeConfiguration(engines), Options(engines, fill)) {
+        planner(clock, MakeConfiguration(engines), Options(engines)) {
     for (std::size_t i = 0; i < engines.targets.size(); ++i) {
       this->planner.OnTarget(MakeReport(engines, i));
     }
@@ -123,9 +122,8 @@
   }
 
  private:
-  static PlannerOptions Options(const FakeEngines& engines, bool fill) {
+  static PlannerOptions Options(const FakeEngines& engines) {
     PlannerOptions options;
-    options.prepare_reserve = fill ? options.prepare_reserve : 1.0;
     options.engine = {
         engines.costs.step_seconds, engines.costs.weight_bytes_per_second,
         engines.costs.sequence_seconds, engines.costs.prefill_token_seconds};
--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -3,8 +3,8 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <functional>
 #include <future>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -91,10 +91,43 @@
   }
 }
 
+// Adds copies of the models with the highest rate per copy where most memory is
+// free, up to six each, and leaves two fifths of each target for KV cache.
+void FillMemory(FakeEngines& engines, const std::vector<double>& rates) {
+  std::vector<std::size_t> order(rates.size());
+  std::iota(order.begin(), order.end(), 0);
+  for (bool placed = true; placed;) {
+    placed = false;
+    std::ranges::stable_sort(order, std::greater<>(), [&](std::size_t model) {
+      return rates[model] /
+             static_cast<double>(engines.holders[model].size() + 1);
+    });
+    for (const std::size_t model : order) {
+      std::size_t best = engines.targets.size();
+      double best_room = 0;
+      for (std::size_t i = 0; i < engines.targets.size(); ++i) {
+        FakeTarget& target = engines.targets[i];
+        const double room =
+            engines.FreeBytes(target) - engines.models[model].weight_bytes -
+            0.4 * engines.costs.memory_bytes * target.accelerators;
+        if (target.Find(model) == nullptr && room > best_room) {
+          best = i;
+          best_room = room;
+        }
+      }
+      if (best < engines.targets.size() && engines.holders[model].size() < 6) {
+        engines.Place(best, model);
+        placed = true;
+        break;
+      }
+    }
+  }
+}
+
 // All policies start from a placement made for the mean demand of the run; that
 // of `static-filled` also uses the rest of the memory for more copies.
 void PlaceFirst(FakeEngines& engines, const DemandPlan& plan, bool fill) {
-  PlacementSolver solver(engines, fill);
+  PlacementSolver solver(engines);
   for (const Move& move : solver.Solve(plan.Mean())) {
     const std::size_t target = IndexOf(move.target.value);
     const std::size_t model = IndexOf(move.model.value);
@@ -105,6 +138,9 @@
     }
   }
   engines.result = {};
+  if (fill) {
+    FillMemory(engines, plan.Mean());
+  }
 }
 
 Totals RunOnce(const Options& options,
--- a/include/pimentospar/placement.h
+++ b/include/pimentospar/placement.h
@@ -4,7 +4,6 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -135,8 +134,6 @@
   kLostCopy,
   /// A target of the model has more load than it can carry in time.
   kOverload,
-  /// Memory is free and a further copy lets the next rise be served at once.
-  kPrepare,
   /// Another item needs the memory more.
   kMakeRoom,
   /// Serving at fewer targets relieves an overloaded one.
@@ -185,13 +182,6 @@
   double kv_reserve = 0.08;
   /// Load at which targets begin to miss latency targets.
   double comfortable_load = 0.65;
-  /// Part of a target's capacity that preparing copies leave free; 1 prepares
-  /// none.
-  double prepare_reserve = 0.4;
-  /// Number of copies of a model up to which copies are prepared.
-  std::size_t prepare_copies = 6;
-  /// A model that was unloaded somewhere is not prepared again for this long.
-  Duration prepare_pause = std::chrono::minutes(20);
   /// Bounds of the search of one step.
   std::size_t max_hot_targets = 8;
   std::size_t max_models_per_target = 16;
@@ -267,8 +257,6 @@
     /// Targets with a copy, in whatever state.
     std::vector<Index> targets;
     bool lost = false;
-    double peak_rate = 0;
-    std::optional<TimePoint> unloaded_at;
   };
   struct Adapter {
     AdapterId id;
@@ -339,8 +327,6 @@
   void RestoreMissing(std::size_t& grants, std::vector<Move>& moves);
   void RestoreLost(std::size_t& grants, std::vector<Move>& moves);
   void RelieveHot(std::size_t& grants, std::vector<Move>& moves);
-  void Prepare(std::size_t& grants, std::vector<Move>& moves);
-  [[nodiscard]] std::optional<Index> PrepareTarget(Index model) const;
   void LeaveTargets(std::size_t& grants, std::vector<Move>& moves);
   [[nodiscard]] Action BestAction(Index target, bool may_load) const;
 
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -12,9 +12,9 @@
 }
 
 std::string_view ToString(MoveReason reason) {
-  constexpr std::array<std::string_view, 8> kNames = {
-      "no_copy",   "lost_copy",   "overload",       "prepare",
-      "make_room", "concentrate", "target_leaving", "adapter_demand"};
+  constexpr std::array<std::string_view, 7> kNames = {
+      "no_copy",     "lost_copy",      "overload",      "make_room",
+      "concentrate", "target_leaving", "adapter_demand"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
@@ -92,7 +92,6 @@
     return;
   }
   entry.demand = demand;
-  entry.peak_rate = std::max(entry.peak_rate, demand.requests_per_second);
   this->Reshare(found->second);
 }
 
@@ -192,7 +191,6 @@
   copy.since = this->clock.Now();
   this->targets[target].load.weight_bytes -= copy.load.weight_bytes;
   copy.load.weight_bytes = 0;
-  this->models[copy.model].unloaded_at = this->clock.Now();
   this->Reshare(copy.model);
 }
 
--- a/src/placement_step.cc
+++ b/src/placement_step.cc
@@ -29,7 +29,6 @@
   this->LeaveTargets(grants, moves);
   this->RestoreLost(grants, moves);
   this->RelieveHot(grants, moves);
-  this->Prepare(grants, moves);
   this->PlaceAdapters(store.free_adapter_loads, moves);
   return moves;
 }
@@ -316,60 +315,4 @@
   }
 }
 
-// Returns the target with the most free memory that may take another copy
-// without unloading anything.
-std::optional<Planner::Index> Planner::PrepareTarget(Index model) const {
-  std::optional<Index> best;
-  double best_room = 0;
-  for (Index index = 0; index < this->targets.size(); ++index) {
-    const Target& target = this->targets[index];
-    if (!target.usable || this->clock.Now() < target.refused_until ||
-        this->Utilization(target, target.load) >
-            this->options.comfortable_load ||
-        this->FindCopy(index, model) != nullptr) {
-      continue;
-    }
-    const double room = target.capacity * (1 - this->options.prepare_reserve) -
-                        target.load.weight_bytes -
-                        this->models[model].weight_bytes;
-    if (room >= 0 && room * this->SpreadFactor(model, index) >= best_room) {
-      best = index;
-      best_room = room * this->SpreadFactor(model, index);
-    }
-  }
-  return best;
-}
-
-// Uses memory that nothing else needs for one further copy of the model with
-// the highest peak per copy, when nothing more urgent is to be done.
-void Planner::Prepare(std::size_t& grants, std::vector<Move>& moves) {
-  if (grants == 0 || !moves.empty()) {
-    return;
-  }
-  std::vector<std::pair<double, Index>> order;
-  for (Index index = 0; index < this->models.size(); ++index) {
-    const Model& model = this->models[index];
-    const std::size_t copies = model.targets.size();
-    const bool paused =
-        model.unloaded_at &&
-        this->clock.Now() < *model.unloaded_at + this->options.prepare_pause;
-    if (copies == 0 || copies >= this->options.prepare_copies || paused) {
-      continue;
-    }
-    order.emplace_back(-model.peak_rate / static_cast<double>(copies), index);
-  }
-  const auto count =
-      std::min(order.size(), this->options.max_models_per_target);
-  std::ranges::partial_sort(order,
-                            order.begin() + static_cast<std::ptrdiff_t>(count));
-  for (std::size_t i = 0; i < count; ++i) {
-    const Index model = order[i].second;
-    if (const auto target = this->PrepareTarget(model)) {
-      this->Commit(model, {*target, {}, 0}, MoveReason::kPrepare, moves);
-      --grants;
-      return;
-    }
-  }
-}
-
 }  // namespace pimentospar
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -176,9 +176,7 @@
 // Guards against busy models waiting for idle ones after a loss, and against
 // moves that the store has no room for.
 BOOST_AUTO_TEST_CASE(RestoresInOrderOfNeed) {
-  PlannerOptions options;
-  options.prepare_reserve = 1;
-  World world(Make(4, 6, 20 * kGigabyte), options);
+  World world(Make(4, 6, 20 * kGigabyte));
   for (std::size_t model = 0; model < 6; ++model) {
     world.SetDemand(model, 1.0 + static_cast<double>(model));
   }
@@ -209,9 +207,7 @@
        {Objective::kAttainment, Objective::kMoves}) {
     Configuration configuration = Make(4, 3, 20 * kGigabyte);
     configuration.objective = objective;
-    PlannerOptions options;
-    options.prepare_reserve = 1;
-    World world(std::move(configuration), options);
+    World world(std::move(configuration));
     for (std::size_t model = 0; model < 3; ++model) {
       world.SetDemand(model, 1.5);
     }
