--- a/include/pimentospar/placement.h
+++ b/include/pimentospar/placement.h
@@ -168,12 +168,12 @@
   EngineProfile engine;
   /// Requests that a move must bring into their targets, for each objective.
   double attainment_move_cost = 4;
-  double moves_move_cost = 60;
+  double moves_move_cost = 300;
   /// Time over which the gain of a move is counted.
   Duration horizon = std::chrono::seconds(300);
   /// A copy stays at least this long, except to make room for a model without
   /// any.
-  Duration min_stay = std::chrono::seconds(120);
+  Duration min_stay = std::chrono::seconds(30);
   /// A move that no report has confirmed by then is planned again.
   Duration move_timeout = std::chrono::seconds(90);
   /// Relative change of a demand below which a model is not looked at again.
