--- a/support/bench.sh
+++ b/support/bench.sh
@@ -9,6 +9,10 @@
 fi
 name=$1
 shift
+# A bench that needs other processes has a script of its own.
+if [ -x "support/bench_$name.sh" ]; then
+  exec "support/bench_$name.sh" "$@"
+fi
 program=$build/bench-$name
 # CMake puts the programs of a subdirectory into its own directory.
 [ -x "$program" ] || program=$build/bench/bench-$name
