--- a/standin/main.cc
+++ b/standin/main.cc
@@ -38,6 +38,7 @@
   int ignores_fencing = 0;
   long long token_ms = 5;
   long long max_running = 32;
+  char* runs_file = nullptr;
 
   [[nodiscard]] Options ToOptions() const {
     Options options;
@@ -54,6 +55,7 @@
     options.ignores_fencing = this->ignores_fencing != 0;
     options.token_ms = static_cast<std::uint64_t>(this->token_ms);
     options.max_running = static_cast<std::uint64_t>(this->max_running);
+    options.runs_file = this->runs_file == nullptr ? "" : this->runs_file;
     return options;
   }
 };
@@ -83,6 +85,8 @@
        "engine: time of a token", "MS"},
       {"max-running", 0, POPT_ARG_LONGLONG, &raw.max_running, 0,
        "engine: requests at once", "N"},
+      {"runs-file", 0, POPT_ARG_STRING, &raw.runs_file, 0,
+       "service: file that each run is appended to", "FILE"},
       POPT_AUTOHELP POPT_TABLEEND};
   const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
       poptGetContext("pimentospar-standin", argc, argv, table, 0),
--- a/standin/service.cc
+++ b/standin/service.cc
@@ -1,3 +1,5 @@
+#include <fstream>
+
 #include "standin.h"
 
 namespace pimentospar::standin {
@@ -7,12 +9,17 @@
 namespace json = boost::json;
 
 // A plain service that books visits. It trusts its callers to send each booking
-// once: every call runs. `GET /runs` shows how often each key ran. Faults:
+// once: every call runs. `GET /runs` shows how often each key ran, and with
+// `--runs-file` each run is a line of JSON in the file. Faults:
 // `delay_ms`, `break` (runs the operation and closes the connection), `refuse`
 // (503 with X-Executed: no), `crash` (runs and exits).
 class Service {
  public:
-  explicit Service(Host& host) : host(host) {}
+  explicit Service(Host& host) : host(host) {
+    if (!host.options.runs_file.empty()) {
+      this->runs_file.open(host.options.runs_file, std::ios::app);
+    }
+  }
 
   void Handle(HttpExchange& exchange) {
     const HttpRequest& request = exchange.Request();
@@ -37,6 +44,7 @@
       const std::lock_guard lock(this->mutex);
       number = ++this->total;
       ++this->runs[std::string(request.Header("Idempotency-Key"))];
+      this->RecordRun(request);
     }
     Sleep(std::chrono::milliseconds(
         static_cast<std::int64_t>(this->host.faults.Get("delay_ms"))));
@@ -55,6 +63,20 @@
   }
 
  private:
+  // Called with the lock held, before the answer, so that the record outlives
+  // a kill of the process.
+  void RecordRun(const HttpRequest& request) {
+    if (!this->runs_file.is_open()) {
+      return;
+    }
+    this->runs_file << json::serialize(json::object{
+                           {"event", "run"},
+                           {"key", request.Header("Idempotency-Key")},
+                           {"operation", request.path.substr(1)},
+                           {"body", request.body}})
+                    << std::endl;
+  }
+
   void ShowRuns(HttpExchange& exchange) {
     json::object shown;
     const std::lock_guard lock(this->mutex);
@@ -69,6 +91,7 @@
   std::uint64_t incarnation = EntropySeed();
   std::uint64_t total = 0;
   std::map<std::string, std::uint64_t> runs;
+  std::ofstream runs_file;
 };
 
 }  // namespace
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -36,6 +36,8 @@
   std::string loaded;
   std::uint64_t token_ms = 5;
   std::uint64_t max_running = 32;
+  /// Service: file that each run is appended to; none if empty.
+  std::string runs_file;
 };
 
 /// Faults that a test switches on through `POST /faults`; a missing one is 0.
