Answer connections that are open when an entry stops

Cause: an entry that drained with no request in flight closed its listener and its threads at once. Connections that were made but not accepted, or accepted but not read yet, were reset, and an answer still in its connection's queue could be lost. Callers saw a broken connection instead of 'draining'. Change: requests count as in flight from their first byte until their answer is written; StopAccepting accepts what waits on the listener before it closes it, and the entry ends once its connections are closed, after at most 1 s.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <set>
+#include <thread>
 
 #include "net/log_line.h"
 #include "pimentospar/digest.h"
@@ -17,6 +18,9 @@
                             AuthorizeFilter>;
 
 constexpr unsigned kMaxAttempts = 3;
+// A connection that was open when the entry stopped may still bring a request
+// that is on its way; after this time it is closed as idle.
+constexpr std::chrono::milliseconds kLastRequestTime{1'000};
 
 // Whether another agent may do better; a full key table or a missing log is the
 // same everywhere.
@@ -76,6 +80,14 @@
 
 void Entry::StopAccepting() {
   this->server->StopAccepting();
+  const TimePoint limit = this->process.clock.Now() + kLastRequestTime;
+  while (!this->server->IsClosed() && this->process.clock.Now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+}
+
+std::size_t Entry::InFlight() const {
+  return std::max(this->process.worker.Running(), this->server->Requests());
 }
 
 std::string Entry::Missing() const {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -19,13 +19,13 @@
 
   /// Opens the callers' address. Throws if it cannot be bound.
   void Start();
-  /// Takes no new connections.
+  /// Takes no new connections, and waits up to a second until the open ones
+  /// are closed.
   void StopAccepting();
   /// What is missing before the process is ready; empty if nothing.
   [[nodiscard]] std::string Missing() const;
-  [[nodiscard]] std::size_t InFlight() const {
-    return this->process.worker.Running();
-  }
+  /// Requests that are being read, handled or answered.
+  [[nodiscard]] std::size_t InFlight() const;
   /// Writes a log line for each request that is still in flight.
   void LogCutOff() const;
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -121,14 +121,34 @@
         handler(std::move(handler)) {}
 
   asio::awaitable<void> Accept();
+  // Serves the connections that were made but not accepted yet, because closing
+  // the acceptor resets them.
+  void AcceptPending();
+  void Serve(Tcp::socket socket);
 
   asio::io_context& context;
   Tcp::acceptor acceptor;
   HttpLimits limits;
   Metrics& metrics;
   Handler handler;
-  std::size_t connections = 0;
+  std::atomic<std::size_t> connections = 0;
+  // Requests from their first byte until their answer is written.
+  std::atomic<std::size_t> requests = 0;
   std::atomic<bool> stopping = false;
+  std::atomic<bool> closed = false;
+};
+
+class RequestCount {
+ public:
+  explicit RequestCount(std::atomic<std::size_t>& count) : count(count) {
+    ++this->count;
+  }
+  RequestCount(const RequestCount&) = delete;
+  RequestCount& operator=(const RequestCount&) = delete;
+  ~RequestCount() { --this->count; }
+
+ private:
+  std::atomic<std::size_t>& count;
 };
 
 /// Serves the requests of one connection, one after the other.
@@ -138,7 +158,6 @@
       : stream(std::move(socket)), server(std::move(server)) {}
 
   asio::awaitable<void> Run() {
-    ++this->server->connections;
     while (co_await this->ServeOne()) {
     }
     --this->server->connections;
@@ -166,6 +185,7 @@
         co_return false;
       }
     }
+    const RequestCount count(this->server->requests);
     this->stream.expires_after(this->server->limits.stall_time);
     co_await http::async_read(this->stream, this->buffer, parser,
                               asio::redirect_error(asio::use_awaitable, error));
@@ -361,20 +381,40 @@
     error_code error;
     Tcp::socket socket = co_await this->acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, error));
+    // A connection may have been accepted just before the acceptor was closed.
+    if (!error) {
+      this->Serve(std::move(socket));
+    }
     if (error == asio::error::operation_aborted || !this->acceptor.is_open()) {
+      this->closed.store(true);
       co_return;
     }
-    if (error) {
-      continue;
-    }
-    if (this->connections >= this->limits.connections) {
-      this->metrics.CountRefusal(Reason::kConnectionLimit);
-      continue;
+  }
+}
+
+void HttpServer::State::Serve(Tcp::socket socket) {
+  if (this->connections >= this->limits.connections) {
+    this->metrics.CountRefusal(Reason::kConnectionLimit);
+    return;
+  }
+  error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  ++this->connections;
+  auto session = std::make_shared<HttpSession>(std::move(socket),
+                                               this->shared_from_this());
+  asio::co_spawn(
+      this->context, [session]() { return session->Run(); }, asio::detached);
+}
+
+void HttpServer::State::AcceptPending() {
+  error_code error;
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    Tcp::socket socket(this->context);
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->Serve(std::move(socket));
     }
-    socket.set_option(Tcp::no_delay(true), error);
-    auto session = std::make_shared<HttpSession>(std::move(socket), self);
-    asio::co_spawn(
-        this->context, [session]() { return session->Run(); }, asio::detached);
   }
 }
 
@@ -404,11 +444,22 @@
 void HttpServer::StopAccepting() {
   this->state->stopping.store(true);
   asio::post(this->state->context, [state = this->state] {
-    error_code ignored;
-    state->acceptor.close(ignored);
+    if (state->acceptor.is_open()) {
+      error_code ignored;
+      state->AcceptPending();
+      state->acceptor.close(ignored);
+    }
   });
 }
 
+std::size_t HttpServer::Requests() const {
+  return this->state->requests.load();
+}
+
+bool HttpServer::IsClosed() const {
+  return this->state->closed.load() && this->state->connections.load() == 0;
+}
+
 HttpResponse ProblemResponse(Reason reason,
                              Executed executed,
                              std::string_view detail,
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -122,8 +122,13 @@
   ~HttpServer();
 
   [[nodiscard]] boost::asio::ip::tcp::endpoint LocalEndpoint() const;
-  /// Takes no new connection; open ones are closed after their current answer.
+  /// Takes no new connection; open ones are closed after their current answer,
+  /// or after the next one if they wait for a request.
   void StopAccepting();
+  /// Requests whose first byte was read and whose answer is not written yet.
+  [[nodiscard]] std::size_t Requests() const;
+  /// True after `StopAccepting` once no connection is open any more.
+  [[nodiscard]] bool IsClosed() const;
 
  private:
   friend class HttpSession;
--- a/test/adapter/http_server_test.cc
+++ b/test/adapter/http_server_test.cc
@@ -124,5 +124,29 @@
               std::future_status::ready));
 }
 
+// Guards against a planned stop that resets connections which were made before
+// it and whose requests come after it.
+BOOST_FIXTURE_TEST_CASE(AnswersOpenConnectionsAfterItStopped, Fixture) {
+  const Tcp::endpoint address = this->server.LocalEndpoint();
+  std::vector<Tcp::socket> sockets;
+  for (int i = 0; i < 3; ++i) {
+    sockets.emplace_back(this->client).connect(address);
+  }
+  this->server.StopAccepting();
+  for (Tcp::socket& socket : sockets) {
+    BOOST_TEST(!this->server.IsClosed());
+    asio::write(socket,
+                asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    BOOST_TEST(answer.find("200 OK") != std::string::npos);
+  }
+  Tcp::socket late(this->client);
+  boost::system::error_code refused;
+  late.connect(address, refused);
+  BOOST_TEST(refused.failed());
+}
+
 }  // namespace
 }  // namespace pimentospar
