Report a request as not run only if no attempt may have run

Cause: the entry reported the execution state of the last attempt. Change: the state of earlier attempts is kept if the last one did not run.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -40,6 +40,11 @@
   }
 }
 
+// A request is reported as not run only if none of its attempts ran.
+Executed Combine(Executed earlier, Executed last) {
+  return last == Executed::kNo ? earlier : last;
+}
+
 std::chrono::milliseconds Remaining(TimePoint now, TimePoint deadline) {
   return std::max(
       std::chrono::milliseconds(0),
@@ -246,7 +251,7 @@
       return;
     }
     problem = {.reason = outcome.reason,
-               .executed = outcome.executed,
+               .executed = Combine(problem.executed, outcome.executed),
                .detail = outcome.detail,
                .attempts = attempt + 1,
                .retry_after = outcome.retry_after};
@@ -363,7 +368,7 @@
       return;
     }
     problem = {.reason = outcome.reason,
-               .executed = outcome.executed,
+               .executed = Combine(problem.executed, outcome.executed),
                .detail = outcome.detail,
                .attempts = problem.attempts + 1,
                .retry_after = outcome.retry_after};
