--- a/test/store_share_test.cc
+++ b/test/store_share_test.cc
@@ -386,5 +386,30 @@
   BOOST_TEST(!fallback.TryGrant({Name(1), ModelId("m")}, {}).has_value());
 }
 
+// Guards against a restarted owner that gives a second grant while its
+// predecessor's is in use, and against a fallback while a planner is heard.
+BOOST_AUTO_TEST_CASE(FallbackOwnerWaitsAfterItsStart) {
+  ManualClock clock;
+  FallbackShare fallback(clock, kLimits, {});
+  const TimePoint start = clock.Now();
+  fallback.OnOwner(true);
+  clock.Advance(seconds(59));
+  BOOST_TEST(!fallback.TryGrant({Name(1), ModelId("m")}, start).has_value());
+  clock.Advance(seconds(1));
+  const TimePoint heard = clock.Now() - seconds(29);
+  BOOST_TEST(!fallback.TryGrant({Name(1), ModelId("m")}, heard).has_value());
+  BOOST_TEST(fallback.TryGrant({Name(1), ModelId("m")}, start).has_value());
+}
+
+// Guards against an agent that uses a grant for longer than any planner counts.
+BOOST_AUTO_TEST_CASE(AgentCountsFromItsLastRead) {
+  ManualClock clock;
+  AgentGrants agent(clock, {});
+  agent.OnTail(clock.Now());
+  clock.Advance(seconds(31));
+  agent.OnGrant({LogOffset{1}, {}, {}, Name(1), ModelId("m"), seconds(60)});
+  BOOST_TEST(!agent.Start(LogOffset{1}));
+}
+
 }  // namespace
 }  // namespace pimentospar
