Avoid constructs that the linter rejects

Cause: clang-tidy reports the rewritten ordering of LogOffset in std::map and cannot parse std::ranges::partition of this library. Change: std::unordered_map and std::partition.

--- a/include/pimentospar/store_share.h
+++ b/include/pimentospar/store_share.h
@@ -2,9 +2,9 @@
 #define INCLUDE_PIMENTOSPAR_STORE_SHARE_H_
 
 #include <chrono>
-#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -222,7 +222,7 @@
   RandomSource& random;
   StoreLimits limits;
   ShareOptions options;
-  std::map<LogOffset, Open> open;
+  std::unordered_map<LogOffset, Open> open;
   std::vector<Unseen> unseen;
   TimePoint next_grant{};
 };
@@ -268,7 +268,7 @@
   /// Unset until this process has read the tail: grants before that were given
   /// to a predecessor.
   std::optional<TimePoint> base;
-  std::map<LogOffset, Held> held;
+  std::unordered_map<LogOffset, Held> held;
 };
 
 /// A load that an agent asks of the owner of the fallback share.
--- a/src/placement_adapter.cc
+++ b/src/placement_adapter.cc
@@ -82,12 +82,13 @@
     const auto copies = static_cast<double>(serving.size());
     const double wanted = std::clamp(
         std::ceil(copies * kExtraCopies * entry.rate / all), 1.0, copies);
-    const auto absent = std::ranges::partition(serving, [&](Index target) {
-      const auto& loaded = this->targets[target].adapters;
-      return std::ranges::find(loaded, adapter) != loaded.end();
-    });
-    auto have = static_cast<double>(absent.begin() - serving.begin());
-    for (const Index target : absent) {
+    const auto first_absent =
+        std::partition(serving.begin(), serving.end(), [&](Index target) {
+          const auto& loaded = this->targets[target].adapters;
+          return std::ranges::find(loaded, adapter) != loaded.end();
+        });
+    auto have = static_cast<double>(first_absent - serving.begin());
+    for (auto at = first_absent; at != serving.end(); ++at) {
       if (have >= wanted) {
         break;
       }
@@ -95,7 +96,7 @@
         this->changed_adapters.push_back(adapter);
         break;
       }
-      if (this->LoadAdapter(adapter, target, moves)) {
+      if (this->LoadAdapter(adapter, *at, moves)) {
         --limit;
         ++have;
       }
--- a/src/store_share.cc
+++ b/src/store_share.cc
@@ -172,7 +172,7 @@
 
 void PlannerGrants::OnAgentClear(const TargetId& target, LogOffset through) {
   for (auto& [offset, grant] : this->open) {
-    if (offset <= through && grant.target == target) {
+    if (offset.value <= through.value && grant.target == target) {
       grant.cleared = true;
     }
   }
