Clear linter findings in the placement bench and tests

Cause: clang-tidy findings on naming, integer division and std::set. Change: renamed a constant, named the quotient, std::unordered_set. Conclusion: no change of behaviour.

--- a/bench/fake_engines.h
+++ b/bench/fake_engines.h
@@ -103,8 +103,9 @@
       this->targets[i].data_centre = i % deployment.data_centres;
       this->targets[i].region = this->targets[i].data_centre % 3;
       const std::size_t count = this->targets.size();
-      this->targets[i].accelerators = static_cast<double>(
-          accelerators / count + (i < accelerators % count));
+      const std::size_t share = accelerators / count;
+      this->targets[i].accelerators =
+          static_cast<double>(share + (i < accelerators % count ? 1 : 0));
     }
     this->unplaced.resize(this->models.size());
     this->holders.resize(this->models.size());
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -6,7 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <map>
-#include <set>
+#include <unordered_set>
 
 #include "pimentospar/random.h"
 
@@ -98,7 +98,7 @@
   ManualClock clock;
   Configuration configuration;
   Planner planner;
-  std::vector<std::set<ModelId>> loaded;
+  std::vector<std::unordered_set<ModelId>> loaded;
   std::vector<bool> live;
 };
 
--- a/test/store_share_test.cc
+++ b/test/store_share_test.cc
@@ -33,7 +33,7 @@
 };
 
 constexpr std::size_t kAgents = 4;
-const StoreLimits kLimits{2.0, 3, 25};
+const StoreLimits store_limits{2.0, 3, 25};
 
 TargetId Name(std::size_t agent) {
   return TargetId("t" + std::to_string(agent));
@@ -45,9 +45,9 @@
   Process(const Clock& clock, RandomSource& random, std::uint64_t instance)
       : instance(instance),
         lease(clock, random, InstanceId{instance}, {}),
-        grants(clock, random, kLimits, {}),
+        grants(clock, random, store_limits, {}),
         agent(clock, {}),
-        fallback(clock, kLimits, {}) {}
+        fallback(clock, store_limits, {}) {}
 
   std::uint64_t instance;
   PlannerLease lease;
@@ -264,15 +264,15 @@
       }
       for (int tick = 0; tick < step; ++tick) {
         system.Tick();
-        RC_ASSERT(system.Active() <= kLimits.parallel_loads);
+        RC_ASSERT(system.Active() <= store_limits.parallel_loads);
       }
     }
-    const std::size_t burst = kLimits.parallel_loads + 1;
+    const std::size_t burst = store_limits.parallel_loads + 1;
     for (std::size_t i = burst; i < system.starts.size(); ++i) {
       const double span = std::chrono::duration<double>(
                               system.starts[i] - system.starts[i - burst])
                               .count();
-      RC_ASSERT((span + 0.5) * kLimits.loads_per_second >= 1.0);
+      RC_ASSERT((span + 0.5) * store_limits.loads_per_second >= 1.0);
     }
     starts += system.starts.size();
     fallback_starts += system.fallback_starts;
@@ -390,7 +390,7 @@
 // predecessor's is in use, and against a fallback while a planner is heard.
 BOOST_AUTO_TEST_CASE(FallbackOwnerWaitsAfterItsStart) {
   ManualClock clock;
-  FallbackShare fallback(clock, kLimits, {});
+  FallbackShare fallback(clock, store_limits, {});
   const TimePoint start = clock.Now();
   fallback.OnOwner(true);
   clock.Advance(seconds(59));
