--- a/include/pimentospar/admission.h
+++ b/include/pimentospar/admission.h
@@ -125,6 +125,8 @@
                                       Priority priority) const;
   /// Estimated engine time of all waiting requests, at the measured speed.
   [[nodiscard]] Duration QueuedWork() const;
+  /// Estimated engine time that the running requests still need.
+  [[nodiscard]] Duration RunningWork() const;
   /// Work done for each second while requests wait; 1 is the nominal speed.
   [[nodiscard]] double MeasuredSpeed() const { return this->speed; }
   [[nodiscard]] std::size_t Waiting() const { return this->waiting; }
--- a/schema/agent.capnp
+++ b/schema/agent.capnp
@@ -19,6 +19,8 @@
   configVersion @9 :UInt64;
   promptTokens @10 :UInt32;
   maxTokens @11 :UInt32;
+  # The entry knows of a crash of a target during which the request ran.
+  struck @12 :Bool;
 }
 
 struct Invocation {
@@ -33,6 +35,7 @@
   remainingMs @6 :UInt32;
   fingerprint @7 :UInt64;
   configVersion @8 :UInt64;
+  struck @9 :Bool;
 }
 
 struct Load {
@@ -42,7 +45,9 @@
   waiting @2 :UInt32;
   freeKvBytes @3 :UInt64;
   sequence @4 :UInt64;
-  loaded @5 :List(Text);
+  loadedModels @5 :List(Text);
+  # Names of the form model:adapter.
+  loadedAdapters @6 :List(Text);
 }
 
 struct Outcome {
@@ -59,6 +64,8 @@
   cachedPromptTokens @9 :UInt32;
   # Fingerprints that were in flight when the target crashed.
   crashedWith @10 :List(UInt64);
+  # Identifies that crash.
+  crash @11 :UInt64;
 }
 
 struct Chunk {
@@ -78,6 +85,7 @@
   invoke @1 (invocation :Invocation) -> (outcome :Outcome);
   cancel @2 (attempt :UInt64) -> ();
   configSince @3 (version :UInt64) -> (version :UInt64, records :List(ConfigRecord));
+  load @4 () -> (load :Load);
 }
 
 struct ConfigRecord {
--- a/schema/agent.capnp.h
+++ b/schema/agent.capnp.h
@@ -36,6 +36,8 @@
 CAPNP_DECLARE_SCHEMA(c8a3c31ecc7d0243);
 CAPNP_DECLARE_SCHEMA(e4f1991a44fce5cb);
 CAPNP_DECLARE_SCHEMA(8bb718318aba1252);
+CAPNP_DECLARE_SCHEMA(985d6f5bb45f5c1d);
+CAPNP_DECLARE_SCHEMA(d2033a25c9ea48d8);
 CAPNP_DECLARE_SCHEMA(dba68ea68d623c2b);
 
 }  // namespace schemas
@@ -82,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b907855da94c6b90, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b907855da94c6b90, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -97,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c7b0a93b45c6d7e, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9c7b0a93b45c6d7e, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -184,6 +186,8 @@
   struct CancelResults;
   struct ConfigSinceParams;
   struct ConfigSinceResults;
+  struct LoadParams;
+  struct LoadResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -313,6 +317,36 @@
   };
 };
 
+struct Agent::LoadParams {
+  LoadParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(985d6f5bb45f5c1d, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::LoadResults {
+  LoadResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d2033a25c9ea48d8, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ConfigRecord {
   ConfigRecord() = delete;
 
@@ -376,6 +410,8 @@
 
   inline  ::uint32_t getMaxTokens() const;
 
+  inline bool getStruck() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -461,6 +497,9 @@
   inline  ::uint32_t getMaxTokens();
   inline void setMaxTokens( ::uint32_t value);
 
+  inline bool getStruck();
+  inline void setStruck(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -527,6 +566,8 @@
 
   inline  ::uint64_t getConfigVersion() const;
 
+  inline bool getStruck() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -602,6 +643,9 @@
   inline  ::uint64_t getConfigVersion();
   inline void setConfigVersion( ::uint64_t value);
 
+  inline bool getStruck();
+  inline void setStruck(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -655,8 +699,11 @@
 
   inline  ::uint64_t getSequence() const;
 
-  inline bool hasLoaded() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLoaded() const;
+  inline bool hasLoadedModels() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLoadedModels() const;
+
+  inline bool hasLoadedAdapters() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLoadedAdapters() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -701,13 +748,21 @@
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
 
-  inline bool hasLoaded();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLoaded();
-  inline void setLoaded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setLoaded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLoaded(unsigned int size);
-  inline void adoptLoaded(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLoaded();
+  inline bool hasLoadedModels();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLoadedModels();
+  inline void setLoadedModels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLoadedModels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLoadedModels(unsigned int size);
+  inline void adoptLoadedModels(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLoadedModels();
+
+  inline bool hasLoadedAdapters();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLoadedAdapters();
+  inline void setLoadedAdapters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLoadedAdapters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLoadedAdapters(unsigned int size);
+  inline void adoptLoadedAdapters(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLoadedAdapters();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -778,6 +833,8 @@
   inline bool hasCrashedWith() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashedWith() const;
 
+  inline  ::uint64_t getCrash() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -856,6 +913,9 @@
   inline void adoptCrashedWith(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCrashedWith();
 
+  inline  ::uint64_t getCrash();
+  inline void setCrash( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1222,6 +1282,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::pimentospar::wire::Agent::ConfigSinceParams,  ::pimentospar::wire::Agent::ConfigSinceResults> configSinceRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pimentospar::wire::Agent::LoadParams,  ::pimentospar::wire::Agent::LoadResults> loadRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1254,6 +1316,10 @@
   typedef  ::pimentospar::wire::Agent::ConfigSinceResults ConfigSinceResults;
   typedef ::capnp::CallContext<ConfigSinceParams, ConfigSinceResults> ConfigSinceContext;
   virtual ::kj::Promise<void> configSince(ConfigSinceContext context);
+  typedef  ::pimentospar::wire::Agent::LoadParams LoadParams;
+  typedef  ::pimentospar::wire::Agent::LoadResults LoadResults;
+  typedef ::capnp::CallContext<LoadParams, LoadResults> LoadContext;
+  virtual ::kj::Promise<void> load(LoadContext context);
 
   inline  ::pimentospar::wire::Agent::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1918,6 +1984,159 @@
 };
 #endif  // !CAPNP_LITE
 
+class Agent::LoadParams::Reader {
+public:
+  typedef LoadParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::LoadParams::Builder {
+public:
+  typedef LoadParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::LoadParams::Pipeline {
+public:
+  typedef LoadParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::LoadResults::Reader {
+public:
+  typedef LoadResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLoad() const;
+  inline  ::pimentospar::wire::Load::Reader getLoad() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::LoadResults::Builder {
+public:
+  typedef LoadResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLoad();
+  inline  ::pimentospar::wire::Load::Builder getLoad();
+  inline void setLoad( ::pimentospar::wire::Load::Reader value);
+  inline  ::pimentospar::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::pimentospar::wire::Load>&& value);
+  inline ::capnp::Orphan< ::pimentospar::wire::Load> disownLoad();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::LoadResults::Pipeline {
+public:
+  typedef LoadResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pimentospar::wire::Load::Pipeline getLoad();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ConfigRecord::Reader {
 public:
   typedef ConfigRecord Reads;
@@ -2283,6 +2502,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Request::Reader::getStruck() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool Request::Builder::getStruck() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setStruck(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Invocation::Reader::getAttempt() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2509,6 +2742,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Invocation::Reader::getStruck() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Invocation::Builder::getStruck() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Invocation::Builder::setStruck(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Load::Reader::getQueuedWorkMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2579,44 +2826,82 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Load::Reader::hasLoaded() const {
+inline bool Load::Reader::hasLoadedModels() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Load::Builder::hasLoaded() {
+inline bool Load::Builder::hasLoadedModels() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Load::Reader::getLoaded() const {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Load::Reader::getLoadedModels() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Load::Builder::getLoaded() {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Load::Builder::getLoadedModels() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Load::Builder::setLoaded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+inline void Load::Builder::setLoadedModels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Load::Builder::setLoaded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+inline void Load::Builder::setLoadedModels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Load::Builder::initLoaded(unsigned int size) {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Load::Builder::initLoadedModels(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Load::Builder::adoptLoaded(
+inline void Load::Builder::adoptLoadedModels(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Load::Builder::disownLoaded() {
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Load::Builder::disownLoadedModels() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Load::Reader::hasLoadedAdapters() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Load::Builder::hasLoadedAdapters() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Load::Reader::getLoadedAdapters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Load::Builder::getLoadedAdapters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Load::Builder::setLoadedAdapters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Load::Builder::setLoadedAdapters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Load::Builder::initLoadedAdapters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Load::Builder::adoptLoadedAdapters(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Load::Builder::disownLoadedAdapters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Outcome::Reader::getAttempt() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2860,6 +3145,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Outcome::Reader::getCrash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Outcome::Builder::getCrash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setCrash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Chunk::Reader::getAttempt() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3328,6 +3627,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Agent::LoadResults::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::LoadResults::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pimentospar::wire::Load::Reader Agent::LoadResults::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pimentospar::wire::Load::Builder Agent::LoadResults::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pimentospar::wire::Load::Pipeline Agent::LoadResults::Pipeline::getLoad() {
+  return  ::pimentospar::wire::Load::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::LoadResults::Builder::setLoad( ::pimentospar::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::pimentospar::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pimentospar::wire::Load::Builder Agent::LoadResults::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::LoadResults::Builder::adoptLoad(
+    ::capnp::Orphan< ::pimentospar::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::pimentospar::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pimentospar::wire::Load> Agent::LoadResults::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ConfigRecord::Reader::getOffset() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -139,6 +139,16 @@
   return Scale(work, 1 / this->speed);
 }
 
+Duration AdmissionQueue::RunningWork() const {
+  const TimePoint now = this->clock.Now();
+  Duration work{0};
+  for (const auto& [attempt, started] : this->running) {
+    const Duration done = Scale(now - started.started, 1 / this->stretch);
+    work += std::max(Duration(0), started.item.work - done);
+  }
+  return Scale(work, 1 / this->speed);
+}
+
 Duration AdmissionQueue::RetryAfter(Duration excess) const {
   return std::clamp(excess, kMinRetryAfter,
                     std::max(kMinRetryAfter, this->options.max_retry_after));
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -9,7 +9,9 @@
       engine(process.http,
              process.clock,
              ParseAddress(process.settings.target_address).value_or(Address{})),
-      claims(process, this->engine) {}
+      claims(process, this->engine),
+      gate(process),
+      crashes(process.clock, TargetId(process.settings.target)) {}
 
 void Agent::Start() {
   this->server = std::make_unique<AgentServer>(
@@ -19,11 +21,34 @@
   LogInfo("listening", {{"purpose", "rpc"},
                         {"address", ToString(this->server->LocalAddress())}});
   this->claims.Start();
-  this->process.Repeat(this->process.settings.state_interval, [this] {
-    auto read = this->engine.ReadState();
+  this->process.Repeat(this->process.settings.state_interval,
+                       [this] { this->ReadState(); });
+}
+
+void Agent::ReadState() {
+  auto read = this->engine.ReadState();
+  if (read) {
+    Bytes used = 0;
+    for (const EngineItem& item : read->items) {
+      used += item.bytes;
+    }
+    this->gate.SetKvCapacity(read->capacity_bytes -
+                             std::min(used, read->capacity_bytes));
+  }
+  const std::lock_guard lock(this->mutex);
+  this->state = std::move(read);
+}
+
+std::optional<std::uint64_t> Agent::Incarnation() {
+  {
     const std::lock_guard lock(this->mutex);
-    this->state = std::move(read);
-  });
+    if (this->state) {
+      return this->state->incarnation;
+    }
+  }
+  this->ReadState();
+  const std::lock_guard lock(this->mutex);
+  return this->state ? std::optional(this->state->incarnation) : std::nullopt;
 }
 
 std::string Agent::Missing() const {
@@ -60,6 +85,7 @@
 }
 
 void Agent::OnCancel(AttemptId attempt) {
+  this->gate.Cancel(attempt);
   const std::lock_guard lock(this->mutex);
   const auto found = this->cancels.find(attempt);
   if (found == this->cancels.end()) {
@@ -74,6 +100,60 @@
   return {};
 }
 
+WorkRequest Agent::ToWork(const ServeRequest& request,
+                          TimePoint deadline) const {
+  const ActiveConfigPtr active = this->process.config.Get();
+  const ModelConfig* model =
+      active == nullptr ? nullptr
+                        : FindModel(active->configuration, request.model);
+  return {
+      .attempt = request.attempt,
+      .owner = request.owner,
+      .priority = request.priority,
+      // The queue starts only requests that have some work.
+      .prompt_tokens = std::max(request.prompt_tokens, 1U),
+      .max_output_tokens = request.max_tokens,
+      .kv_bytes_per_token = model == nullptr ? 0 : model->kv_bytes_per_token,
+      .deadline = deadline};
+}
+
+Outcome Agent::RunGuarded(const Guarded& guarded, const Run& run) {
+  const auto before = this->Incarnation();
+  if (!before) {
+    return this->ToOutcome(guarded.attempt,
+                           {.reason = Reason::kTargetUnreachable,
+                            .detail = "the target does not tell its state"});
+  }
+  if (!this->crashes.TryStart(guarded.attempt, guarded.fingerprint,
+                              guarded.struck)) {
+    return this->ToOutcome(guarded.attempt,
+                           {.reason = Reason::kTargetRefused,
+                            .detail = "another request with a strike runs"});
+  }
+  EngineResult result = run();
+  std::optional<CrashReport> crash;
+  if (result.reason == Reason::kTargetCrashed) {
+    this->ReadState();
+    crash = this->crashes.OnBroken(*before, this->Incarnation());
+    if (crash) {
+      LogError("target_crashed", {{"crash", crash->crash.value},
+                                  {"in_flight", crash->in_flight.size()}});
+    } else {
+      result.reason = Reason::kBrokenStream;
+    }
+  }
+  this->crashes.OnEnd(guarded.attempt);
+  if (result.reason == Reason::kNone) {
+    this->crashes.OnCompleted(guarded.fingerprint);
+  }
+  Outcome outcome = this->ToOutcome(guarded.attempt, std::move(result));
+  if (crash) {
+    outcome.crash = crash->crash;
+    outcome.crashed_with = std::move(crash->in_flight);
+  }
+  return outcome;
+}
+
 void Agent::Serve(const ServeRequest& request, AttemptReply& reply) {
   if (this->process.IsDraining()) {
     reply.Finish(
@@ -85,32 +165,43 @@
     const std::lock_guard lock(this->mutex);
     this->cancels[request.attempt] = cancelled;
   }
-  std::uint32_t sequence =
-      static_cast<std::uint32_t>(request.resume_tokens.size());
+  auto sequence = static_cast<std::uint32_t>(request.resume_tokens.size());
+  const std::uint32_t first = sequence;
   const TimePoint deadline = this->process.clock.Now() + request.remaining;
-  EngineResult result =
-      this->engine.Chat(request, deadline, [&](EngineToken token) {
-        if (cancelled->load()) {
-          return false;
-        }
-        if (!token.text.empty() &&
-            !reply.SendChunk({request.attempt, sequence++,
-                              std::move(token.text), false, ""})) {
-          return false;
-        }
-        return token.finish_reason.empty() ||
-               reply.SendChunk({request.attempt, sequence++, "", true,
-                                token.finish_reason});
-      });
-  if (result.reason == Reason::kCallerGone ||
-      result.reason == Reason::kDeadlineExceeded) {
-    this->engine.Cancel(request.attempt);
+  const Engine::OnToken on_token = [&](EngineToken token) {
+    if (cancelled->load()) {
+      return false;
+    }
+    if (!token.text.empty() &&
+        !reply.SendChunk(
+            {request.attempt, sequence++, std::move(token.text), false, ""})) {
+      return false;
+    }
+    return token.finish_reason.empty() ||
+           reply.SendChunk(
+               {request.attempt, sequence++, "", true, token.finish_reason});
+  };
+  Outcome outcome;
+  if (auto refused = this->gate.Enter(this->ToWork(request, deadline))) {
+    outcome = this->ToOutcome(request.attempt, std::move(*refused));
+  } else {
+    outcome = this->RunGuarded(
+        {request.attempt, request.fingerprint, request.struck},
+        [&] { return this->engine.Chat(request, deadline, on_token); });
+    this->gate.Leave({.attempt = request.attempt,
+                      .output_tokens = sequence - first,
+                      .complete = outcome.reason == Reason::kNone});
+    outcome.load = this->CurrentLoad();
+    if (outcome.reason == Reason::kCallerGone ||
+        (outcome.reason == Reason::kDeadlineExceeded &&
+         outcome.executed != Executed::kNo)) {
+      this->engine.Cancel(request.attempt);
+    }
   }
   {
     const std::lock_guard lock(this->mutex);
     this->cancels.erase(request.attempt);
   }
-  Outcome outcome = this->ToOutcome(request.attempt, std::move(result));
   outcome.chunks = sequence;
   reply.Finish(std::move(outcome));
 }
@@ -122,14 +213,31 @@
     return;
   }
   const TimePoint deadline = this->process.clock.Now() + invocation.remaining;
+  const Guarded guarded{invocation.attempt, invocation.fingerprint,
+                        invocation.struck};
+  // A claim may wait long for the log; it must not keep others from the target.
   if (!invocation.idempotency_key.empty()) {
-    reply.Finish(this->ToOutcome(invocation.attempt,
-                                 this->claims.Run(invocation, deadline)));
+    reply.Finish(this->RunGuarded(
+        guarded, [&] { return this->claims.Run(invocation, deadline); }));
+    return;
+  }
+  if (auto refused = this->gate.Enter({.attempt = invocation.attempt,
+                                       .owner = invocation.owner,
+                                       .prompt_tokens = 1,
+                                       .max_output_tokens = 1,
+                                       .deadline = deadline})) {
+    reply.Finish(this->ToOutcome(invocation.attempt, std::move(*refused)));
     return;
   }
-  this->process.metrics.Count(Event::kOperationDispatched);
-  reply.Finish(this->ToOutcome(invocation.attempt,
-                               this->engine.Invoke(invocation, deadline)));
+  Outcome outcome = this->RunGuarded(guarded, [&] {
+    this->process.metrics.Count(Event::kOperationDispatched);
+    return this->engine.Invoke(invocation, deadline);
+  });
+  this->gate.Leave({.attempt = invocation.attempt,
+                    .output_tokens = 1,
+                    .complete = outcome.reason == Reason::kNone});
+  outcome.load = this->CurrentLoad();
+  reply.Finish(std::move(outcome));
 }
 
 Outcome Agent::ToOutcome(AttemptId attempt, EngineResult result) const {
@@ -144,23 +252,34 @@
   outcome.detail = std::move(result.detail);
   outcome.body = std::move(result.body);
   outcome.retry_after = result.retry_after;
+  outcome.cached_prompt_tokens = result.cached_prompt_tokens;
   outcome.load = this->CurrentLoad();
   return outcome;
 }
 
 TargetLoad Agent::CurrentLoad() const {
+  const QueueLoad queue = this->gate.Load();
   const std::lock_guard lock(this->mutex);
   TargetLoad load;
   load.sequence = ++this->load_sequence;
+  load.queued_work =
+      std::chrono::duration_cast<std::chrono::milliseconds>(queue.work);
+  load.running = queue.running;
+  load.waiting = queue.waiting;
   if (!this->state) {
     return load;
   }
-  load.running = this->state->running;
-  load.waiting = this->state->waiting;
-  load.free_kv_bytes = this->state->capacity_bytes - this->state->kv_used_bytes;
+  Bytes used = queue.kv_in_use;
   for (const EngineItem& item : this->state->items) {
-    load.loaded.push_back(item.item);
+    used += item.bytes;
+    if (item.kind == "model") {
+      load.models.emplace_back(item.item);
+    } else if (item.kind == "adapter") {
+      load.adapters.emplace_back(item.item);
+    }
   }
+  load.free_kv_bytes =
+      this->state->capacity_bytes - std::min(used, this->state->capacity_bytes);
   return load;
 }
 
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -5,7 +5,9 @@
 #include <memory>
 #include <mutex>
 
+#include "agent/admission_gate.h"
 #include "agent/claims_guard.h"
+#include "agent/crash_watch.h"
 #include "agent/engine.h"
 #include "daemon/process.h"
 #include "rpc/agent_server.h"
@@ -37,16 +39,36 @@
                 std::shared_ptr<AttemptReply> reply) override;
   void OnCancel(AttemptId attempt) override;
   ConfigRecords OnConfigSince(LogOffset from) override;
+  TargetLoad OnLoad() override { return this->CurrentLoad(); }
 
  private:
+  /// What an attempt needs to be guarded, whatever it runs.
+  struct Guarded {
+    AttemptId attempt;
+    Fingerprint fingerprint;
+    bool struck = false;
+  };
+  using Run = std::function<EngineResult()>;
+
   void Serve(const ServeRequest& request, AttemptReply& reply);
   void Invoke(const Invocation& invocation, AttemptReply& reply);
+  /// Runs an attempt on the target unless requests with strikes would meet, and
+  /// finds out whether it ended by a crash.
+  [[nodiscard]] Outcome RunGuarded(const Guarded& guarded, const Run& run);
+  [[nodiscard]] WorkRequest ToWork(const ServeRequest& request,
+                                   TimePoint deadline) const;
+  void ReadState();
+  /// Returns the incarnation of the engine, reading its state first if it is
+  /// not known.
+  [[nodiscard]] std::optional<std::uint64_t> Incarnation();
   [[nodiscard]] Outcome ToOutcome(AttemptId attempt, EngineResult result) const;
   [[nodiscard]] TargetLoad CurrentLoad() const;
 
   Process& process;
   Engine engine;
   ClaimsGuard claims;
+  AdmissionGate gate;
+  CrashWatch crashes;
   std::unique_ptr<AgentServer> server;
   mutable std::mutex mutex;
   std::optional<EngineState> state;
--- a/src/agent/engine.cc
+++ b/src/agent/engine.cc
@@ -5,6 +5,8 @@
 #include <boost/json.hpp>
 #include <charconv>
 
+#include "pimentospar/answer.h"
+
 namespace pimentospar {
 
 namespace {
@@ -40,6 +42,9 @@
 
   [[nodiscard]] bool IsWhole() const { return this->done && this->finished; }
   [[nodiscard]] bool WasStopped() const { return this->stopped; }
+  [[nodiscard]] std::uint32_t CachedPromptTokens() const {
+    return this->cached_prompt_tokens;
+  }
 
  private:
   bool Take(std::string_view event) {
@@ -70,6 +75,7 @@
       token.finish_reason =
           reason->is_string() ? std::string(reason->get_string()) : "";
     }
+    this->ReadUsage(value);
     if (token.text.empty() && token.finish_reason.empty()) {
       return true;
     }
@@ -78,8 +84,20 @@
     return !this->stopped;
   }
 
+  void ReadUsage(const json::value& event) {
+    json::error_code missing;
+    const json::value* cached = event.find_pointer(
+        "/usage/prompt_tokens_details/cached_tokens", missing);
+    if (cached == nullptr || !cached->is_number()) {
+      return;
+    }
+    const auto tokens = cached->to_number<std::uint32_t>(missing);
+    this->cached_prompt_tokens = missing ? 0 : tokens;
+  }
+
   const Engine::OnToken& on_token;
   std::string pending;
+  std::uint32_t cached_prompt_tokens = 0;
   bool finished = false;
   bool done = false;
   bool stopped = false;
@@ -112,13 +130,15 @@
 
 // A target that refuses says for certain that the request did not run.
 EngineResult Refused(unsigned status,
-                     const boost::beast::http::fields& headers) {
-  const bool not_run =
-      (status == 429 || status == 503) && headers["X-Executed"] == "no";
+                     const boost::beast::http::fields& headers,
+                     ExecutionState& execution) {
+  const auto executed = headers["X-Executed"];
+  execution.OnErrorStatus(static_cast<int>(status),
+                          {executed.data(), executed.size()});
+  const bool not_run = execution.Get() == Executed::kNo;
   EngineResult result =
       Failed(not_run ? Reason::kTargetRefused : Reason::kTargetError,
-             not_run ? Executed::kNo : Executed::kUnknown,
-             fmt::format("the target answered {}", status));
+             execution.Get(), fmt::format("the target answered {}", status));
   result.status = status;
   const auto retry_after = headers["Retry-After"];
   std::uint32_t seconds = 0;
@@ -128,16 +148,15 @@
   return result;
 }
 
-EngineResult Broken(const HttpEnd& end, TimePoint now, TimePoint deadline) {
-  const Executed executed = end.progress == HttpProgress::kNotSent
-                                ? Executed::kNo
-                                : Executed::kUnknown;
+EngineResult Broken(const HttpEnd& end,
+                    Executed executed,
+                    TimePoint now,
+                    TimePoint deadline) {
   if (now >= deadline) {
     return Failed(Reason::kDeadlineExceeded, executed, end.error);
   }
-  return Failed(end.progress == HttpProgress::kNotSent
-                    ? Reason::kTargetUnreachable
-                    : Reason::kTargetCrashed,
+  return Failed(executed == Executed::kNo ? Reason::kTargetUnreachable
+                                          : Reason::kTargetCrashed,
                 executed, end.error);
 }
 
@@ -177,12 +196,17 @@
       .body = BodyWithResume(request)};
   const auto stream = this->http.Start(std::move(call), deadline);
   EventParser parser(on_token);
+  ExecutionState execution;
   unsigned status = 0;
   boost::beast::http::fields headers;
   while (true) {
     HttpEvent event = stream->Next(deadline);
     if (auto* head = std::get_if<HttpHead>(&event)) {
       status = head->status;
+      execution.OnDispatch();
+      if (status == 200) {
+        execution.OnPartialAnswer();
+      }
       headers = std::move(head->headers);
       continue;
     }
@@ -198,14 +222,20 @@
       continue;
     }
     const auto& end = std::get<HttpEnd>(event);
+    if (end.progress != HttpProgress::kNotSent) {
+      execution.OnDispatch();
+    }
     if (status != 0 && status != 200) {
-      return Refused(status, headers);
+      return Refused(status, headers, execution);
     }
     if (end.complete && parser.IsWhole()) {
-      return {
-          .reason = Reason::kNone, .executed = Executed::kYes, .status = 200};
+      execution.OnCompleteAnswer();
+      return {.reason = Reason::kNone,
+              .executed = execution.Get(),
+              .status = 200,
+              .cached_prompt_tokens = parser.CachedPromptTokens()};
     }
-    return Broken(end, this->clock.Now(), deadline);
+    return Broken(end, execution.Get(), this->clock.Now(), deadline);
   }
 }
 
@@ -220,12 +250,16 @@
     call.headers.push_back({"Idempotency-Key", invocation.idempotency_key});
   }
   const HttpResult result = this->http.Fetch(std::move(call), deadline);
+  ExecutionState execution;
+  if (result.complete || result.progress != HttpProgress::kNotSent) {
+    execution.OnDispatch();
+  }
   if (!result.complete) {
-    return Broken({result.progress, false, result.error}, this->clock.Now(),
-                  deadline);
+    return Broken({result.progress, false, result.error}, execution.Get(),
+                  this->clock.Now(), deadline);
   }
   if (result.status == 429 || result.status >= 500) {
-    return Refused(result.status, result.headers);
+    return Refused(result.status, result.headers, execution);
   }
   return {.reason = Reason::kNone,
           .executed = Executed::kYes,
--- a/src/agent/engine.h
+++ b/src/agent/engine.h
@@ -26,6 +26,7 @@
   std::string detail;
   std::string body;
   std::chrono::milliseconds retry_after{};
+  std::uint32_t cached_prompt_tokens = 0;
 };
 
 struct EngineItem {
--- a/src/rpc/agent_client.cc
+++ b/src/rpc/agent_client.cc
@@ -234,6 +234,33 @@
       });
 }
 
+std::optional<TargetLoad> AgentClient::Load(const Address& agent,
+                                            TimePoint deadline) {
+  using Answer = std::optional<TargetLoad>;
+  auto promise = std::make_shared<boost::fibers::promise<Answer>>();
+  auto future = promise->get_future();
+  const bool taken = this->rpc.TryRun([this, agent, promise,
+                                       connections = this->connections](
+                                          kj::AsyncIoContext& context) {
+    auto call =
+        connections->Get(context, agent)
+            .then([promise](wire::Agent::Client client) {
+              return client.loadRequest().send().then(
+                  [promise](
+                      capnp::Response<wire::Agent::LoadResults>&& response) {
+                    promise->set_value(Read(response.getLoad()));
+                  });
+            });
+    this->rpc.Detach(call.catch_(
+        [promise](kj::Exception&&) { promise->set_value(std::nullopt); }));
+  });
+  if (!taken ||
+      future.wait_until(deadline) != boost::fibers::future_status::ready) {
+    return std::nullopt;
+  }
+  return future.get();
+}
+
 ConfigRecords AgentClient::ConfigSince(const Address& peer,
                                        LogOffset from,
                                        TimePoint deadline) {
--- a/src/rpc/agent_client.h
+++ b/src/rpc/agent_client.h
@@ -3,6 +3,7 @@
 
 #include <boost/fiber/buffered_channel.hpp>
 #include <memory>
+#include <optional>
 #include <variant>
 
 #include "net/address.h"
@@ -51,6 +52,10 @@
                                                       Invocation invocation);
   /// Tells the agent that nobody waits for the attempt any more.
   void Cancel(const Address& agent, AttemptId attempt);
+  /// Returns what the agent reports of its target; nothing if it does not
+  /// answer in time.
+  [[nodiscard]] std::optional<TargetLoad> Load(const Address& agent,
+                                               TimePoint deadline);
   /// Returns the records of the configuration stream that the peer has from an
   /// offset on.
   [[nodiscard]] ConfigRecords ConfigSince(const Address& peer,
--- a/src/rpc/agent_server.cc
+++ b/src/rpc/agent_server.cc
@@ -184,6 +184,11 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> load(LoadContext context) override {
+    Write(context.getResults().initLoad(), this->handler.OnLoad());
+    return kj::READY_NOW;
+  }
+
  private:
   RpcThread& rpc;
   AgentHandler& handler;
--- a/src/rpc/agent_server.h
+++ b/src/rpc/agent_server.h
@@ -35,6 +35,8 @@
                         std::shared_ptr<AttemptReply> reply) = 0;
   virtual void OnCancel(AttemptId attempt) = 0;
   virtual ConfigRecords OnConfigSince(LogOffset from) = 0;
+  /// A process without a target has no load.
+  virtual TargetLoad OnLoad() { return {}; }
 };
 
 /// Serves the RPC interface of a process at its address.
--- a/src/rpc/convert.cc
+++ b/src/rpc/convert.cc
@@ -33,34 +33,43 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, time.count()));
 }
 
-void WriteLoad(wire::Load::Builder to, const TargetLoad& from) {
+}  // namespace
+
+void Write(wire::Load::Builder to, const TargetLoad& from) {
   to.setQueuedWorkMs(ToMilliseconds(from.queued_work));
   to.setRunning(from.running);
   to.setWaiting(from.waiting);
   to.setFreeKvBytes(from.free_kv_bytes);
   to.setSequence(from.sequence);
-  auto loaded = to.initLoaded(static_cast<unsigned>(from.loaded.size()));
+  auto models = to.initLoadedModels(static_cast<unsigned>(from.models.size()));
   unsigned index = 0;
-  for (const std::string& item : from.loaded) {
-    loaded.set(index++, item);
+  for (const ModelId& model : from.models) {
+    models.set(index++, model.value);
+  }
+  auto adapters =
+      to.initLoadedAdapters(static_cast<unsigned>(from.adapters.size()));
+  index = 0;
+  for (const AdapterId& adapter : from.adapters) {
+    adapters.set(index++, adapter.value);
   }
 }
 
-TargetLoad ReadLoad(wire::Load::Reader from) {
+TargetLoad Read(wire::Load::Reader from) {
   TargetLoad to;
   to.queued_work = std::chrono::milliseconds(from.getQueuedWorkMs());
   to.running = from.getRunning();
   to.waiting = from.getWaiting();
   to.free_kv_bytes = from.getFreeKvBytes();
   to.sequence = from.getSequence();
-  for (const auto item : from.getLoaded()) {
-    to.loaded.push_back(Text(item));
+  for (const auto model : from.getLoadedModels()) {
+    to.models.emplace_back(Text(model));
+  }
+  for (const auto adapter : from.getLoadedAdapters()) {
+    to.adapters.emplace_back(Text(adapter));
   }
   return to;
 }
 
-}  // namespace
-
 void Write(wire::Request::Builder to, const ServeRequest& from) {
   to.setAttempt(from.attempt.value);
   to.setOwner(from.owner.value);
@@ -79,6 +88,7 @@
   to.setConfigVersion(from.config_version.value);
   to.setPromptTokens(from.prompt_tokens);
   to.setMaxTokens(from.max_tokens);
+  to.setStruck(from.struck);
 }
 
 ServeRequest Read(wire::Request::Reader from) {
@@ -97,6 +107,7 @@
   to.config_version.value = from.getConfigVersion();
   to.prompt_tokens = from.getPromptTokens();
   to.max_tokens = from.getMaxTokens();
+  to.struck = from.getStruck();
   return to;
 }
 
@@ -110,6 +121,7 @@
   to.setRemainingMs(ToMilliseconds(from.remaining));
   to.setFingerprint(from.fingerprint.value);
   to.setConfigVersion(from.config_version.value);
+  to.setStruck(from.struck);
 }
 
 Invocation Read(wire::Invocation::Reader from) {
@@ -123,6 +135,7 @@
   to.remaining = std::chrono::milliseconds(from.getRemainingMs());
   to.fingerprint.value = from.getFingerprint();
   to.config_version.value = from.getConfigVersion();
+  to.struck = from.getStruck();
   return to;
 }
 
@@ -133,7 +146,7 @@
   to.setStatus(static_cast<std::uint16_t>(from.status));
   to.setDetail(from.detail);
   to.setRetryAfterMs(ToMilliseconds(from.retry_after));
-  WriteLoad(to.initLoad(), from.load);
+  Write(to.initLoad(), from.load);
   to.setBody(AsData(from.body));
   to.setChunks(from.chunks);
   to.setCachedPromptTokens(from.cached_prompt_tokens);
@@ -143,6 +156,7 @@
   for (const Fingerprint fingerprint : from.crashed_with) {
     crashed.set(index++, fingerprint.value);
   }
+  to.setCrash(from.crash.value);
 }
 
 Outcome Read(wire::Outcome::Reader from) {
@@ -153,13 +167,14 @@
   to.status = from.getStatus();
   to.detail = Text(from.getDetail());
   to.retry_after = std::chrono::milliseconds(from.getRetryAfterMs());
-  to.load = ReadLoad(from.getLoad());
+  to.load = Read(from.getLoad());
   to.body = Data(from.getBody());
   to.chunks = from.getChunks();
   to.cached_prompt_tokens = from.getCachedPromptTokens();
   for (const std::uint64_t fingerprint : from.getCrashedWith()) {
     to.crashed_with.push_back(Fingerprint{fingerprint});
   }
+  to.crash.value = from.getCrash();
   return to;
 }
 
--- a/src/rpc/convert.h
+++ b/src/rpc/convert.h
@@ -9,11 +9,13 @@
 void Write(wire::Request::Builder to, const ServeRequest& from);
 void Write(wire::Invocation::Builder to, const Invocation& from);
 void Write(wire::Outcome::Builder to, const Outcome& from);
+void Write(wire::Load::Builder to, const TargetLoad& from);
 void Write(wire::Chunk::Builder to, const ChunkMessage& from);
 
 [[nodiscard]] ServeRequest Read(wire::Request::Reader from);
 [[nodiscard]] Invocation Read(wire::Invocation::Reader from);
 [[nodiscard]] Outcome Read(wire::Outcome::Reader from);
+[[nodiscard]] TargetLoad Read(wire::Load::Reader from);
 [[nodiscard]] ChunkMessage Read(wire::Chunk::Reader from);
 
 }  // namespace pimentospar
--- a/src/rpc/messages.h
+++ b/src/rpc/messages.h
@@ -7,6 +7,7 @@
 
 #include "pimentospar/clock.h"
 #include "pimentospar/config.h"
+#include "pimentospar/quarantine.h"
 #include "pimentospar/reason.h"
 #include "pimentospar/types.h"
 
@@ -28,6 +29,8 @@
   ConfigVersion config_version;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_tokens = 0;
+  /// True if the entry knows of a strike of the request.
+  bool struck = false;
 };
 
 /// One attempt to run an operation of a plain service.
@@ -42,6 +45,8 @@
   std::chrono::milliseconds remaining{};
   Fingerprint fingerprint;
   ConfigVersion config_version;
+  /// True if the entry knows of a strike of the request.
+  bool struck = false;
 };
 
 /// State of a target, sent with each answer.
@@ -52,7 +57,9 @@
   Bytes free_kv_bytes = 0;
   /// Rises with each report of one agent instance.
   std::uint64_t sequence = 0;
-  std::vector<std::string> loaded;
+  std::vector<ModelId> models;
+  /// Names of the form `model:adapter`.
+  std::vector<AdapterId> adapters;
 };
 
 /// How an attempt ended.
@@ -70,6 +77,7 @@
   std::uint32_t cached_prompt_tokens = 0;
   /// Fingerprints that were in flight when the target crashed.
   std::vector<Fingerprint> crashed_with;
+  CrashId crash;
 };
 
 /// A part of a streamed answer.
