Choose, retry, quarantine and assemble by the decision modules

The entry chose targets at random, retried in a plain loop without back-off or budget, and had no quarantine.

Routing holds the target picker, the quarantine and the retry policy behind one mutex. It learns places from the directory, and load, loaded items and crashes from outcomes. An entry also asks agents for their load: a new one at once, otherwise the one not heard of for longest, one a second, 8 a second while requests wait for a load. Attempts is the loop that chat and service calls share; ChatHandler assembles the answer by AnswerAssembler and keeps an answer whose last chunk has arrived even if its outcome is lost. A request whose model is loaded nowhere waits within its deadline, at most a quarter of limits.requests at once, and ends with model_loading, not run.

--- a/include/pimentospar/target_choice.h
+++ b/include/pimentospar/target_choice.h
@@ -149,6 +149,9 @@
   void OnAdapterLoads(std::uint32_t in_flight);
 
   [[nodiscard]] TargetChoice Pick(const ChoiceRequest& request);
+  /// Whether a target that takes new work has the model in memory; does not
+  /// count as demand.
+  [[nodiscard]] bool HasCopy(const ModelId& model) const;
   void OnSent(const SentAttempt& sent);
   void OnEnd(AttemptId attempt, AttemptEnd end);
 
--- a/src/entry/answer_writer.cc
+++ b/src/entry/answer_writer.cc
@@ -47,7 +47,6 @@
 }
 
 bool ChatAnswerWriter::WriteToken(const std::string& token) {
-  this->tokens.push_back(token);
   if (!this->chat.stream) {
     return !this->exchange->IsGone();
   }
@@ -59,7 +58,8 @@
   return this->exchange->Write(this->Event(token, ""));
 }
 
-void ChatAnswerWriter::Finish(const std::string& finish_reason) {
+void ChatAnswerWriter::Finish(const std::string& finish_reason,
+                              std::span<const std::string> delivered) {
   if (this->chat.stream) {
     if (!this->started) {
       this->exchange->StartStream({.content_type = "text/event-stream",
@@ -71,14 +71,16 @@
     return;
   }
   std::string text;
-  for (const std::string& token : this->tokens) {
+  std::size_t completion = 0;
+  for (const std::string& token : delivered) {
     text += token;
+    // The last chunk ends the answer and has no text.
+    completion += token.empty() ? 0 : 1;
   }
   json::object choice{
       {"index", 0},
       {"message", json::object{{"role", "assistant"}, {"content", text}}},
       {"finish_reason", finish_reason}};
-  const std::size_t completion = this->tokens.size();
   this->exchange->Respond(
       {.body = json::serialize(json::object{
            {"id", this->id},
--- a/src/entry/answer_writer.h
+++ b/src/entry/answer_writer.h
@@ -1,8 +1,8 @@
 #ifndef SRC_ENTRY_ANSWER_WRITER_H_
 #define SRC_ENTRY_ANSWER_WRITER_H_
 
+#include <span>
 #include <string>
-#include <vector>
 
 #include "entry/request.h"
 
@@ -17,15 +17,13 @@
 
   /// Takes the next token of the answer; false if the caller is gone.
   bool WriteToken(const std::string& token);
-  void Finish(const std::string& finish_reason);
+  /// Ends the answer; `delivered` are all of its tokens.
+  void Finish(const std::string& finish_reason,
+              std::span<const std::string> delivered);
   /// Ends the answer with an error. A stream that has begun gets an error event
   /// and no `[DONE]`.
   void Fail(const Problem& problem);
 
-  [[nodiscard]] const std::vector<std::string>& Tokens() const {
-    return this->tokens;
-  }
-
  private:
   [[nodiscard]] std::string Event(const std::string& token,
                                   const std::string& finish_reason) const;
@@ -34,7 +32,6 @@
   ChatRequest chat;
   std::string id;
   std::int64_t created_seconds;
-  std::vector<std::string> tokens;
   bool started = false;
 };
 
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -1,11 +1,11 @@
 #include "entry/entry.h"
 
-#include <algorithm>
+#include <array>
 #include <boost/json.hpp>
-#include <set>
 
+#include "entry/chat_handler.h"
+#include "entry/service_handler.h"
 #include "net/log_line.h"
-#include "pimentospar/digest.h"
 
 namespace pimentospar {
 
@@ -16,35 +16,13 @@
                             ValidateFilter,
                             AuthorizeFilter>;
 
-constexpr unsigned kMaxAttempts = 3;
-
-// Whether another agent may do better; a full key table or a missing log is the
-// same everywhere.
-bool IsWorthRetrying(Reason reason) {
-  switch (reason) {
-    case Reason::kTargetLeaving:
-    case Reason::kTargetUnreachable:
-    case Reason::kTargetRefused:
-    case Reason::kTargetCrashed:
-    case Reason::kTargetError:
-    case Reason::kRingFull:
-    case Reason::kNotReady:
-    case Reason::kOverloaded:
-      return true;
-    default:
-      return false;
-  }
-}
-
-std::chrono::milliseconds Remaining(TimePoint now, TimePoint deadline) {
-  return std::max(
-      std::chrono::milliseconds(0),
-      std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now));
-}
+// How often it is checked whether agents must be asked for their load.
+constexpr std::chrono::milliseconds kAskStep{50};
+constexpr std::chrono::milliseconds kAskTimeout{500};
 
 }  // namespace
 
-Entry::Entry(Process& process) : process(process) {}
+Entry::Entry(Process& process) : process(process), routing(process) {}
 
 void Entry::Start() {
   const Settings& settings = this->process.settings;
@@ -71,7 +49,24 @@
             ReadHostList(this->process.http, this->process.clock, hosts)) {
       this->directory.Update(*list);
     }
+    if (const ActiveConfigPtr active = this->process.config.Get()) {
+      this->routing.OnAgents(this->directory.Agents(), active->configuration);
+    }
   });
+  this->process.Repeat(kAskStep, [this] { this->AskForLoad(); });
+}
+
+void Entry::AskForLoad() {
+  for (const KnownAgent& agent : this->routing.TakeToAsk()) {
+    // Agents that do not answer must not delay the others.
+    (void)this->process.control.TryRun([this, agent] {
+      const auto load = this->process.agents.Load(
+          agent.address, this->process.clock.Now() + kAskTimeout);
+      if (load) {
+        this->routing.OnLoad(agent.target, *load);
+      }
+    });
+  }
 }
 
 void Entry::StopAccepting() {
@@ -129,8 +124,9 @@
     this->Refuse(context, *problem);
     return;
   }
+  this->routing.OnRequest();
   if (std::holds_alternative<ChatRequest>(context.request)) {
-    this->ServeChat(context);
+    ChatHandler(this->Parts(), context).Run();
   } else {
     this->ServeService(context);
   }
@@ -188,212 +184,15 @@
                                  {"object", "list"}, {"data", data}})});
 }
 
-std::vector<KnownAgent> Entry::Candidates(const RequestContext& context) const {
-  const auto* call = std::get_if<ServiceRequest>(&context.request);
-  std::vector<KnownAgent> candidates;
-  for (const KnownAgent& agent : this->directory.Agents()) {
-    const TargetConfig* target =
-        FindTarget(context.config->configuration, agent.target);
-    if (target == nullptr || agent.is_leaving) {
-      continue;
-    }
-    const bool fits = call == nullptr ? target->kind == TargetKind::kModels
-                                      : target->kind == TargetKind::kService &&
-                                            target->service == call->service;
-    if (fits) {
-      candidates.push_back(agent);
-    }
-  }
-  return candidates;
-}
-
-void Entry::ServeChat(RequestContext& context) {
-  ChatAnswerWriter writer(context, this->process.NextAttempt(),
-                          std::chrono::duration_cast<std::chrono::seconds>(
-                              this->process.clock.WallNow().time_since_epoch())
-                              .count());
-  Problem problem{.reason = Reason::kNoTarget, .detail = "no agent is known"};
-  std::set<TargetId> tried;
-  for (unsigned attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    std::vector<KnownAgent> candidates = this->Candidates(context);
-    std::erase_if(candidates, [&](const KnownAgent& agent) {
-      return tried.contains(agent.target);
-    });
-    if (candidates.empty()) {
-      break;
-    }
-    const KnownAgent& agent =
-        candidates[this->process.random.Below(candidates.size())];
-    tried.insert(agent.target);
-    std::string finish_reason;
-    const Outcome outcome =
-        this->RunAttempt(context, agent, writer, finish_reason);
-    if (outcome.reason == Reason::kNone) {
-      writer.Finish(finish_reason);
-      this->process.metrics.Count(Event::kRequestCompleted);
-      return;
-    }
-    problem = {.reason = outcome.reason,
-               .executed = outcome.executed,
-               .detail = outcome.detail,
-               .attempts = attempt + 1,
-               .retry_after = outcome.retry_after};
-    if (outcome.reason == Reason::kTargetLeaving) {
-      this->directory.MarkLeaving(agent.target, agent.address);
-    }
-    if (outcome.reason == Reason::kCallerGone ||
-        outcome.reason == Reason::kDeadlineExceeded) {
-      break;
-    }
-    this->process.metrics.CountRetry(outcome.reason);
-  }
-  this->process.metrics.CountRefusal(problem.reason);
-  LogInfo("request_failed", {{"reason", CodeOf(problem.reason)},
-                             {"executed", ToString(problem.executed)},
-                             {"attempts", problem.attempts},
-                             {"detail", problem.detail}});
-  writer.Fail(problem);
-}
-
-Outcome Entry::RunAttempt(const RequestContext& context,
-                          const KnownAgent& agent,
-                          ChatAnswerWriter& writer,
-                          std::string& finish_reason) {
-  const auto& chat = std::get<ChatRequest>(context.request);
-  const AttemptId id = this->process.NextAttempt();
-  ServeRequest request;
-  request.attempt = id;
-  request.owner = context.owner;
-  request.model = chat.model;
-  request.adapter = chat.adapter;
-  request.priority = context.priority;
-  request.body = context.exchange->Request().body;
-  request.remaining = Remaining(this->process.clock.Now(), context.deadline);
-  request.fingerprint = context.fingerprint;
-  request.resume_tokens = writer.Tokens();
-  request.config_version = context.config->version;
-  request.prompt_tokens = chat.prompt_tokens;
-  request.max_tokens = chat.max_tokens;
-  this->process.metrics.Count(Event::kAttemptStarted);
-  if (!request.resume_tokens.empty()) {
-    this->process.metrics.Count(Event::kStreamResumed);
-  }
-  std::uint32_t expected = static_cast<std::uint32_t>(writer.Tokens().size());
-  bool whole = false;
-  const auto stream =
-      this->process.agents.Serve(agent.address, std::move(request));
-  context.exchange->OnGone([this, stream, address = agent.address] {
-    stream->Close();
-    this->process.agents.Cancel(address, stream->Id());
-  });
-  while (true) {
-    AttemptEvent event = stream->Next(context.deadline);
-    if (auto* chunk = std::get_if<ChunkMessage>(&event)) {
-      if (chunk->attempt != id || chunk->sequence != expected || whole) {
-        this->process.metrics.Count(Event::kChunkDropped);
-        continue;
-      }
-      ++expected;
-      if (chunk->last) {
-        whole = true;
-        finish_reason = chunk->finish_reason;
-        continue;
-      }
-      if (writer.Tokens().empty()) {
-        this->process.metrics.RecordFirstTokenTime(this->process.clock.Now() -
-                                                   context.received);
-      }
-      (void)writer.WriteToken(chunk->text);
-      continue;
-    }
-    Outcome outcome = std::get<Outcome>(std::move(event));
-    if (context.exchange->IsGone()) {
-      outcome.reason = Reason::kCallerGone;
-    } else if (outcome.reason == Reason::kNone && !whole) {
-      outcome.reason = Reason::kBrokenStream;
-    }
-    if (outcome.reason == Reason::kDeadlineExceeded) {
-      this->process.agents.Cancel(agent.address, id);
-    }
-    return outcome;
-  }
-}
-
-std::vector<KnownAgent> Entry::ServiceCandidates(
-    const RequestContext& context) const {
-  const auto& call = std::get<ServiceRequest>(context.request);
-  std::vector<KnownAgent> candidates = this->Candidates(context);
-  const ServiceConfig* service =
-      FindService(context.config->configuration, call.service);
-  std::uint64_t seed = context.fingerprint.value;
-  if (!call.idempotent && service != nullptr) {
-    std::erase_if(candidates, [&](const KnownAgent& agent) {
-      return agent.region != service->home_region;
-    });
-    seed = Hash64(call.key) % service->shards;
-  }
-  // The same order at every entry, so that repeats of a key meet at one agent.
-  std::ranges::sort(candidates, {}, [seed](const KnownAgent& agent) {
-    return Hash64(agent.target.value, seed);
-  });
-  return candidates;
-}
-
-void Entry::ServeService(RequestContext& context) {
-  const auto& call = std::get<ServiceRequest>(context.request);
-  Problem problem{.reason = Reason::kNoTarget, .detail = "no agent is known"};
-  for (const KnownAgent& agent : this->ServiceCandidates(context)) {
-    const Outcome outcome = this->RunInvocation(context, agent);
-    if (outcome.reason == Reason::kNone) {
-      this->process.metrics.Count(Event::kRequestCompleted);
-      context.exchange->Respond(
-          {.status = outcome.status, .body = outcome.body});
-      return;
-    }
-    problem = {.reason = outcome.reason,
-               .executed = outcome.executed,
-               .detail = outcome.detail,
-               .attempts = problem.attempts + 1,
-               .retry_after = outcome.retry_after};
-    if (outcome.reason == Reason::kTargetLeaving) {
-      this->directory.MarkLeaving(agent.target, agent.address);
-    }
-    const bool may_repeat =
-        outcome.executed == Executed::kNo || call.idempotent;
-    if (!may_repeat || !IsWorthRetrying(outcome.reason) ||
-        problem.attempts >= kMaxAttempts) {
-      break;
-    }
-    this->process.metrics.CountRetry(outcome.reason);
-  }
-  this->Refuse(context, problem);
-}
-
-Outcome Entry::RunInvocation(const RequestContext& context,
-                             const KnownAgent& agent) {
-  const auto& call = std::get<ServiceRequest>(context.request);
-  Invocation invocation;
-  invocation.attempt = this->process.NextAttempt();
-  invocation.owner = context.owner;
-  invocation.service = call.service;
-  invocation.operation = call.operation;
-  invocation.idempotency_key = call.idempotent ? "" : call.key;
-  invocation.body = context.exchange->Request().body;
-  invocation.remaining = Remaining(this->process.clock.Now(), context.deadline);
-  invocation.fingerprint = context.fingerprint;
-  invocation.config_version = context.config->version;
-  this->process.metrics.Count(Event::kAttemptStarted);
-  const auto stream =
-      this->process.agents.Invoke(agent.address, std::move(invocation));
-  AttemptEvent event = stream->Next(context.deadline);
-  if (auto* outcome = std::get_if<Outcome>(&event);
-      outcome != nullptr && outcome->attempt == stream->Id()) {
-    return std::move(*outcome);
+void Entry::ServeService(const RequestContext& context) {
+  const auto result = ServiceHandler(this->Parts(), context).Run();
+  if (const auto* problem = std::get_if<Problem>(&result)) {
+    this->Refuse(context, *problem);
+    return;
   }
-  Outcome crossed;
-  crossed.reason = Reason::kCrossedAnswer;
-  crossed.executed = Executed::kUnknown;
-  return crossed;
+  const auto& outcome = std::get<Outcome>(result);
+  this->process.metrics.Count(Event::kRequestCompleted);
+  context.exchange->Respond({.status = outcome.status, .body = outcome.body});
 }
 
 }  // namespace pimentospar
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,12 +1,15 @@
 #ifndef SRC_ENTRY_ENTRY_H_
 #define SRC_ENTRY_ENTRY_H_
 
+#include <map>
 #include <memory>
+#include <mutex>
 
 #include "daemon/process.h"
-#include "entry/answer_writer.h"
+#include "entry/attempts.h"
 #include "entry/directory.h"
 #include "entry/request.h"
+#include "entry/routing.h"
 
 namespace pimentospar {
 
@@ -35,21 +38,16 @@
   [[nodiscard]] FilterResult Prepare(RequestContext& context) const;
   void Refuse(const RequestContext& context, const Problem& problem);
   void ListModels(const RequestContext& context);
-  void ServeChat(RequestContext& context);
-  void ServeService(RequestContext& context);
-  [[nodiscard]] std::vector<KnownAgent> ServiceCandidates(
-      const RequestContext& context) const;
-  [[nodiscard]] Outcome RunInvocation(const RequestContext& context,
-                                      const KnownAgent& agent);
-  [[nodiscard]] Outcome RunAttempt(const RequestContext& context,
-                                   const KnownAgent& agent,
-                                   ChatAnswerWriter& writer,
-                                   std::string& finish_reason);
-  [[nodiscard]] std::vector<KnownAgent> Candidates(
-      const RequestContext& context) const;
+  void ServeService(const RequestContext& context);
+  /// Asks agents for their load that have not reported it for long.
+  void AskForLoad();
+  [[nodiscard]] EntryParts Parts() {
+    return {this->process, this->directory, this->routing};
+  }
 
   Process& process;
   AgentDirectory directory;
+  Routing routing;
   std::unique_ptr<HttpServer> server;
   mutable std::mutex mutex;
   std::map<const HttpExchange*, std::string> in_flight;
--- a/src/entry/request.cc
+++ b/src/entry/request.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "pimentospar/digest.h"
+#include "pimentospar/quarantine.h"
 
 namespace pimentospar {
 
@@ -16,11 +17,32 @@
 constexpr std::uint32_t kDefaultMaxTokens = 256;
 constexpr std::uint32_t kLargestMaxTokens = 1'000'000;
 constexpr std::size_t kLongestKey = 255;
+// Blocks of 128 tokens; longer prompts are told apart by their first 4,096
+// tokens.
+constexpr std::size_t kPrefixBlockBytes = 512;
+constexpr std::size_t kMaxPrefixes = 32;
 
 Problem Refuse(Reason reason, std::string detail) {
   return {.reason = reason, .detail = std::move(detail)};
 }
 
+// Hashes each prefix of whole blocks of the prompt.
+std::vector<PrefixBlock> PrefixesOf(std::string_view text) {
+  std::vector<PrefixBlock> prefixes;
+  std::uint64_t hash = 0;
+  for (std::size_t end = kPrefixBlockBytes; end <= text.size();
+       end += kPrefixBlockBytes) {
+    hash =
+        Hash64(text.substr(end - kPrefixBlockBytes, kPrefixBlockBytes), hash);
+    prefixes.push_back(
+        {hash, static_cast<std::uint32_t>(end / kBytesPerToken)});
+    if (prefixes.size() == kMaxPrefixes) {
+      break;
+    }
+  }
+  return prefixes;
+}
+
 // Reads a chat body; the second part says what is wrong.
 std::variant<ChatRequest, Problem> ReadChat(const json::value& value) {
   const json::object* body = value.if_object();
@@ -44,7 +66,7 @@
     return Refuse(Reason::kWrongType,
                   "messages: is missing, empty or not a list");
   }
-  std::size_t bytes = 0;
+  std::string text;
   for (const json::value& message : messages->get_array()) {
     const json::object* object = message.if_object();
     const json::value* content =
@@ -53,9 +75,11 @@
       return Refuse(Reason::kWrongType,
                     "messages: content is missing or not a string");
     }
-    bytes += content->get_string().size();
+    text += content->get_string();
   }
-  chat.prompt_tokens = static_cast<std::uint32_t>(bytes / kBytesPerToken + 1);
+  chat.prefix = PrefixesOf(text);
+  chat.prompt_tokens =
+      static_cast<std::uint32_t>(text.size() / kBytesPerToken + 1);
   if (const json::value* stream = body->if_contains("stream")) {
     if (!stream->is_bool()) {
       return Refuse(Reason::kWrongType, "stream: is not true or false");
@@ -103,9 +127,8 @@
                                              chat.adapter.value + "'");
   }
   context.priority = model->priority;
-  context.fingerprint.value =
-      Hash64(context.owner.value + '\n' + chat.model.value + '\n' +
-             json::serialize(body));
+  context.fingerprint = FingerprintOf(context.owner, chat.model,
+                                      context.exchange->Request().body);
   context.request = std::move(chat);
   return std::nullopt;
 }
@@ -141,9 +164,8 @@
     return Refuse(Reason::kWrongType,
                   "Idempotency-Key: is longer than 255 bytes");
   }
-  context.fingerprint.value =
-      Hash64(context.owner.value + '\n' + call.service.value + '\n' +
-             call.operation.value + '\n' + http.body);
+  context.fingerprint =
+      FingerprintOf(context.owner, call.service, call.operation, http.body);
   context.request = std::move(call);
   return std::nullopt;
 }
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -6,12 +6,14 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "control/active_config.h"
 #include "daemon/settings.h"
 #include "net/http_server.h"
 #include "pimentospar/clock.h"
 #include "pimentospar/config.h"
+#include "pimentospar/prefix_belief.h"
 
 namespace pimentospar {
 
@@ -31,6 +33,8 @@
   bool stream = false;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_tokens = 0;
+  /// Prefixes of the prompt, shortest first.
+  std::vector<PrefixBlock> prefix;
 };
 
 /// A call of a plain service after validation.
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -7,16 +7,15 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Event::kCount)>
-    kEventNames = {"requests_started", "requests_completed",
-                   "attempts_started", "streams_resumed",
-                   "chunks_dropped",   "claims_joined",
-                   "claims_replayed",  "operations_dispatched",
-                   "config_applied",   "log_reads_failed",
-                   "log_appends",      "log_appends_lost",
-                   "gossip_sent",      "gossip_received",
-                   "gossip_bytes",     "orders_sent",
-                   "orders_unknown",   "loads_done",
-                   "unloads_done",     "plan_steps"};
+    kEventNames = {
+        "requests_started", "requests_completed", "attempts_started",
+        "streams_resumed",  "chunks_dropped",     "chunks_short",
+        "chunks_crossed",   "chunks_late",        "chunks_repeated",
+        "claims_joined",    "claims_replayed",    "operations_dispatched",
+        "config_applied",   "log_reads_failed",   "log_appends",
+        "log_appends_lost", "gossip_sent",        "gossip_received",
+        "gossip_bytes",     "orders_sent",        "orders_unknown",
+        "loads_done",       "unloads_done",       "plan_steps"};
 
 // Two bins for each doubling from 0.1 ms to 400 s keep the error of a quantile
 // below 42 %.
--- a/src/target_choice.cc
+++ b/src/target_choice.cc
@@ -223,6 +223,15 @@
   return found;
 }
 
+bool TargetPicker::HasCopy(const ModelId& model) const {
+  const auto copies = this->copies.find(model);
+  return copies != this->copies.end() &&
+         std::ranges::any_of(copies->second, [this](const TargetId& id) {
+           const auto found = this->targets.find(id);
+           return found != this->targets.end() && !found->second.leaving;
+         });
+}
+
 namespace {
 
 // Moves the poorest targets to the end and returns how many stay usable: all
