Show quarantine and cancellation in the demo

The demo now starts the killed engine and the stopped agent again, cuts a caller off in mid-stream and looks for the cancel at the engine, and sends a request that crashes its targets.

--- a/support/demo.sh
+++ b/support/demo.sh
@@ -179,6 +179,63 @@
 wait_until stopped
 check "the agent drained and cut off nothing" grep -q event=drain_completed "$work/agent$spare.log"
 
+# The killed engine and the stopped agent start again, so that three targets serve lichen and moss.
+restart_engine() {
+  start_standin "engine$1" engine --address "$2" --memory-bytes 1000 --token-ms 10 \
+    --loaded lichen=400,moss=400 --store "$store"
+}
+restart_engine "$busy" "$(address_of "engine$busy" standin)"
+start_daemon "agent$spare"
+rows[spare - 1]=
+add_host "agent$spare" agent "${regions[spare - 1]}" "$(address_of "agent$spare" rpc)" "engine$spare"
+rows[spare - 1]=${rows[-1]}
+unset 'rows[-1]'
+publish_hosts
+wait_until is_ready "$(address_of "agent$spare" operator)"
+wait_until is_ready "$(address_of "agent$busy" operator)"
+
+cancels() {
+  local i total=0 shown
+  for i in 1 2 3; do
+    shown=$(curl -fsS "http://$(address_of "engine$i" standin)/state" |
+      sed 's/.*"cancels":\([0-9]*\).*/\1/')
+    total=$((total + shown))
+  done
+  echo "$total"
+}
+cancels_before=$(cancels)
+# Without --max-time of `call`, and in this shell, so that its id is that of curl.
+curl -sS -N -H "Authorization: Bearer $caller_token" -H 'Content-Type: application/json' \
+  --data "$long" "http://$entry1/v1/chat/completions" >"$work/gone.out" &
+caller=$!
+wait_until grep -q t20- "$work/gone.out"
+kill "$caller"
+wait "$caller" 2>/dev/null || true
+was_cancelled() { [ "$(cancels)" -gt "$cancels_before" ]; }
+check "a caller that disconnects in mid-stream cancels the stream at the engine" \
+  wait_until was_cancelled
+
+crashes() { cat "$work"/engine?.log | grep -c event=crash || true; }
+poison='{"model":"lichen","max_tokens":5,"messages":[{"role":"user","content":"poison"}]}'
+crashed=$(call "$entry1" /v1/chat/completions "$poison")
+check "a request that crashes its targets ends with a true error" \
+  grep -q '"executed":"unknown"' <<<"$crashed"
+say "      $crashed"
+say "      it crashed $(crashes) targets"
+check "it crashed at most 3 targets" [ "$(crashes)" -le 3 ]
+revived=$(address_of "engine$busy" standin)
+restart_engine "$busy" "$revived"
+quarantined=$(call "$entry1" /v1/chat/completions "$poison")
+check "the same request again is refused as quarantined" \
+  grep -q '"reason":"request_quarantined"' <<<"$quarantined"
+check "the refusal is counted" \
+  [ "$(metric "$(address_of entry1 operator)" 'pimentospar_refusals_total{reason="request_quarantined"}')" -ge 1 ]
+after=$(call "$entry1" /v1/chat/completions "$chat}")
+check "other requests are served as soon as a target is back" \
+  [ "$(tokens <<<"$after")" = "$(expected 20)" ]
+check "the refused request crashed nothing more" \
+  curl -fsS --max-time 2 -o /dev/null "http://$revived/state"
+
 for i in 1 2; do
   operator=$(address_of "entry$i" operator)
   say "      entry$i: requests=$(metric "$operator" pimentospar_requests_started_total)" \
