--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -24,6 +24,10 @@
   void Start();
   /// Takes no new connections.
   void StopAccepting();
+  /// The address that callers connect to, once started.
+  [[nodiscard]] Address CallerAddress() const {
+    return FromEndpoint(this->server->LocalEndpoint());
+  }
   /// What is missing before the process is ready; empty if nothing.
   [[nodiscard]] std::string Missing() const;
   [[nodiscard]] std::size_t InFlight() const {
