--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,12 +1,15 @@
 #ifndef SRC_ENTRY_ENTRY_H_
 #define SRC_ENTRY_ENTRY_H_
 
+#include <map>
 #include <memory>
+#include <mutex>
 
 #include "daemon/process.h"
-#include "entry/answer_writer.h"
+#include "entry/attempts.h"
 #include "entry/directory.h"
 #include "entry/request.h"
+#include "entry/routing.h"
 
 namespace pimentospar {
 
@@ -23,6 +26,10 @@
   /// Takes no new connections, and waits up to a second until the open ones
   /// are closed.
   void StopAccepting();
+  /// The address that callers connect to, once started.
+  [[nodiscard]] Address CallerAddress() const {
+    return FromEndpoint(this->server->LocalEndpoint());
+  }
   /// What is missing before the process is ready; empty if nothing.
   [[nodiscard]] std::string Missing() const;
   /// Requests that are being read, handled or answered.
@@ -36,21 +43,17 @@
   [[nodiscard]] FilterResult Prepare(RequestContext& context) const;
   void Refuse(const RequestContext& context, const Problem& problem);
   void ListModels(const RequestContext& context);
-  void ServeChat(RequestContext& context);
-  void ServeService(RequestContext& context);
-  [[nodiscard]] std::vector<KnownAgent> ServiceCandidates(
-      const RequestContext& context) const;
-  [[nodiscard]] Outcome RunInvocation(const RequestContext& context,
-                                      const KnownAgent& agent);
-  [[nodiscard]] Outcome RunAttempt(const RequestContext& context,
-                                   const KnownAgent& agent,
-                                   ChatAnswerWriter& writer,
-                                   std::string& finish_reason);
-  [[nodiscard]] std::vector<KnownAgent> Candidates(
-      const RequestContext& context) const;
+  void ServeService(const RequestContext& context);
+  /// Asks agents for their load that have not reported it for long.
+  void AskForLoad();
+  void UpdateRouting();
+  [[nodiscard]] EntryParts Parts() {
+    return {this->process, this->directory, this->routing};
+  }
 
   Process& process;
   AgentDirectory directory;
+  Routing routing;
   std::unique_ptr<HttpServer> server;
   mutable std::mutex mutex;
   std::map<const HttpExchange*, std::string> in_flight;
--- a/src/rpc/agent_client.h
+++ b/src/rpc/agent_client.h
@@ -53,6 +53,10 @@
                                                       Invocation invocation);
   /// Tells the agent that nobody waits for the attempt any more.
   void Cancel(const Address& agent, AttemptId attempt);
+  /// Returns what the agent reports of its target; nothing if it does not
+  /// answer in time.
+  [[nodiscard]] std::optional<TargetLoad> Load(const Address& agent,
+                                               TimePoint deadline);
   /// Asks a peer for what is newer than a version; nothing if it does not
   /// answer in time.
   [[nodiscard]] std::optional<PeerUpdate> ConfigSince(
--- a/src/rpc/agent_server.h
+++ b/src/rpc/agent_server.h
@@ -38,6 +38,8 @@
   virtual void OnCancel(AttemptId) {}
   /// Returns what a peer with this version of the configuration needs.
   virtual PeerUpdate OnConfigSince(std::optional<ConfigVersion> version) = 0;
+  /// A process without a target has no load.
+  virtual TargetLoad OnLoad() { return {}; }
 };
 
 /// Serves the RPC interface of a process at its address.
--- a/src/rpc/messages.h
+++ b/src/rpc/messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "pimentospar/config.h"
+#include "pimentospar/quarantine.h"
 #include "pimentospar/reason.h"
 #include "pimentospar/types.h"
 
@@ -27,6 +28,8 @@
   ConfigVersion config_version;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_tokens = 0;
+  /// True if the entry knows of a strike of the request.
+  bool struck = false;
 };
 
 /// One attempt to run an operation of a plain service.
@@ -41,6 +44,8 @@
   std::chrono::milliseconds remaining{};
   Fingerprint fingerprint;
   ConfigVersion config_version;
+  /// True if the entry knows of a strike of the request.
+  bool struck = false;
 };
 
 /// State of a target, sent with each answer.
@@ -51,7 +56,9 @@
   Bytes free_kv_bytes = 0;
   /// Rises with each report of one agent instance.
   std::uint64_t sequence = 0;
-  std::vector<std::string> loaded;
+  std::vector<ModelId> models;
+  /// Names of the form `model:adapter`.
+  std::vector<AdapterId> adapters;
 };
 
 /// How an attempt ended.
@@ -69,6 +76,7 @@
   std::uint32_t cached_prompt_tokens = 0;
   /// Fingerprints that were in flight when the target crashed.
   std::vector<Fingerprint> crashed_with;
+  CrashId crash;
 };
 
 /// A part of a streamed answer.
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -6,7 +6,7 @@
 if [ "${DEMO_SKIP_BUILD:-}" != 1 ]; then
   support/setup.sh >/dev/null
   cmake -G Ninja -B build >/dev/null
-  ninja -C build pimentospard pimentospar-standin >/dev/null
+  ninja -C build pimentospard pimentosparctl pimentospar-standin >/dev/null
 fi
 programs=$PWD/build
 work=$(mktemp -d)
@@ -61,8 +61,10 @@
 {"id":"booking2","region":"south","data_centre":"south-1","kind":"service","service":"booking"}]}
 JSON
 )
-printf '{"type":"change","id":"%032x","base_version":0,"author":"demo","time":0,"prev_hash":"%064d","document":%s}' \
-  1 0 "$document" | curl -fsS --data-binary @- "http://$log/v1/streams/config/records" >/dev/null
+ctl() { "$programs/src/pimentosparctl" "$@"; }
+printf '%s\n' "$document" >"$work/first.json"
+check "pimentosparctl proposes the first configuration" \
+  ctl config propose --log "$log" --base none --author demo "$work/first.json" >/dev/null
 
 rows=()
 add_host() { rows+=("{\"id\":\"$1\",\"role\":\"$2\",\"region\":\"$3\",\"data_centre\":\"$3-1\",\"address\":\"$4\",\"gossip\":\"$(address_of "$1" gossip)\",\"target\":\"$5\",\"state\":\"live\"}"); }
@@ -179,6 +181,78 @@
 wait_until stopped
 check "the agent drained and cut off nothing" grep -q event=drain_completed "$work/agent$spare.log"
 
+# The killed engine and the stopped agent start again, so that three targets serve lichen and moss.
+restart_engine() {
+  start_standin "engine$1" engine --address "$2" --memory-bytes 1000 --token-ms 10 \
+    --loaded lichen=400,moss=400 --store "$store"
+}
+restart_engine "$busy" "$(address_of "engine$busy" standin)"
+start_daemon "agent$spare"
+rows[spare - 1]=
+add_host "agent$spare" agent "${regions[spare - 1]}" "$(address_of "agent$spare" rpc)" "engine$spare"
+rows[spare - 1]=${rows[-1]}
+unset 'rows[-1]'
+publish_hosts
+wait_until is_ready "$(address_of "agent$spare" operator)"
+wait_until is_ready "$(address_of "agent$busy" operator)"
+
+cancels() {
+  local i total=0 shown
+  for i in 1 2 3; do
+    shown=$(curl -fsS "http://$(address_of "engine$i" standin)/state" |
+      sed 's/.*"cancels":\([0-9]*\).*/\1/')
+    total=$((total + shown))
+  done
+  echo "$total"
+}
+cancels_before=$(cancels)
+# Without --max-time of `call`, and in this shell, so that its id is that of curl.
+curl -sS -N -H "Authorization: Bearer $caller_token" -H 'Content-Type: application/json' \
+  --data "$long" "http://$entry1/v1/chat/completions" >"$work/gone.out" &
+caller=$!
+wait_until grep -q t20- "$work/gone.out"
+kill "$caller"
+wait "$caller" 2>/dev/null || true
+was_cancelled() { [ "$(cancels)" -gt "$cancels_before" ]; }
+check "a caller that disconnects in mid-stream cancels the stream at the engine" \
+  wait_until was_cancelled
+
+crashes() { cat "$work"/engine?.log | grep -c event=crash || true; }
+poison='{"model":"lichen","max_tokens":5,"messages":[{"role":"user","content":"poison"}]}'
+crashed=$(call "$entry1" /v1/chat/completions "$poison")
+check "a request that crashes its targets ends with a true error" \
+  grep -q '"executed":"unknown"' <<<"$crashed"
+say "      $crashed"
+say "      it crashed $(crashes) targets"
+check "it crashed at most 3 targets" [ "$(crashes)" -le 3 ]
+revived=$(address_of "engine$busy" standin)
+restart_engine "$busy" "$revived"
+quarantined=$(call "$entry1" /v1/chat/completions "$poison")
+check "the same request again is refused as quarantined" \
+  grep -q '"reason":"request_quarantined"' <<<"$quarantined"
+check "the refusal is counted" \
+  [ "$(metric "$(address_of entry1 operator)" 'pimentospar_refusals_total{reason="request_quarantined"}')" -ge 1 ]
+after=$(call "$entry1" /v1/chat/completions "$chat}")
+check "other requests are served as soon as a target is back" \
+  [ "$(tokens <<<"$after")" = "$(expected 20)" ]
+check "the refused request crashed nothing more" \
+  curl -fsS --max-time 2 -o /dev/null "http://$revived/state"
+
+printf '[{"op":"replace","path":"/deployment","value":"demo-2"}]' >"$work/patch.json"
+check "a change of the configuration is accepted" \
+  ctl config propose --log "$log" --base 1 --author alice "$work/patch.json" >/dev/null
+race() { ctl config propose --log "$log" --base 1 --author bob "$work/patch.json" >"$work/race.out" 2>&1; }
+check "a change on the old version is told that it was overtaken" \
+  [ "$(race; echo $?)" = 3 ]
+in_force() {
+  PIMENTOSPAR_TOKEN=$operator_token ctl config status --json \
+    --process "$(address_of entry1 operator)" --process "$(address_of entry2 operator)" \
+    >"$work/status.out" 2>&1 &&
+    [ "$(grep -o '"config_version": *2' "$work/status.out" | wc -l)" = 2 ]
+}
+check "the new version is in force at both entries" wait_until in_force
+check "the history verifies" ctl config verify --log "$log" >/dev/null
+
 for i in 1 2; do
   operator=$(address_of "entry$i" operator)
   say "      entry$i: requests=$(metric "$operator" pimentospar_requests_started_total)" \
