Compare the version in the demo as the tool prints it

Cause: the check expected a number, and the tool prints every field of its JSON table as a string; the demo reported one wrong check.

Change: the check.

Conclusion: the check had failed, not the system: both entries had version 2.

--- a/support/demo.sh
+++ b/support/demo.sh
@@ -248,7 +248,7 @@
   PIMENTOSPAR_TOKEN=$operator_token ctl config status --json \
     --process "$(address_of entry1 operator)" --process "$(address_of entry2 operator)" \
     >"$work/status.out" 2>&1 &&
-    [ "$(grep -o '"config_version": *2' "$work/status.out" | wc -l)" = 2 ]
+    [ "$(grep -o '"config_version":"2"' "$work/status.out" | wc -l)" = 2 ]
 }
 check "the new version is in force at both entries" wait_until in_force
 check "the history verifies" ctl config verify --log "$log" >/dev/null
