Refuse late calls before an agent that leaves ends

Cause: an agent that drained with nothing in flight ended at once. A call that an entry had sent but the agent had not read was broken, and the entry reported a non-idempotent operation as unknown although nothing had failed. Change: after the drain the agent refuses calls (target_leaving) until there were none for 300 ms, at most 3 s; an entry stops calling at its first refusal.

--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -1,9 +1,22 @@
 #include "agent/agent.h"
 
+#include <algorithm>
+#include <thread>
+
 #include "net/log_line.h"
 
 namespace pimentospar {
 
+namespace {
+
+// An entry learns from its first refusal that an agent leaves; a call that it
+// sent before is answered within this time and not cut off.
+constexpr std::chrono::milliseconds kQuietTime{300};
+// Bounds the time that an agent waits for entries that go on calling.
+constexpr std::chrono::milliseconds kLongestQuietWait{3'000};
+
+}  // namespace
+
 Agent::Agent(Process& process)
     : process(process),
       engine(process.http,
@@ -37,6 +50,16 @@
   return this->state ? "" : "state of the target";
 }
 
+void Agent::StopAccepting() const {
+  const TimePoint drained = this->process.clock.Now();
+  TimePoint now = drained;
+  while (now < drained + kLongestQuietWait &&
+         now < std::max(drained, this->last_call.load()) + kQuietTime) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    now = this->process.clock.Now();
+  }
+}
+
 void Agent::LogCutOff() const {
   const std::lock_guard lock(this->mutex);
   for (const auto& [attempt, cancelled] : this->cancels) {
@@ -45,6 +68,7 @@
 }
 
 bool Agent::OnServe(ServeRequest request, std::shared_ptr<AttemptReply> reply) {
+  this->last_call.store(this->process.clock.Now());
   return this->process.worker.TryRun(
       [this, request = std::move(request), reply = std::move(reply)] {
         this->Serve(request, *reply);
@@ -53,6 +77,7 @@
 
 bool Agent::OnInvoke(Invocation invocation,
                      std::shared_ptr<AttemptReply> reply) {
+  this->last_call.store(this->process.clock.Now());
   return this->process.worker.TryRun(
       [this, invocation = std::move(invocation), reply = std::move(reply)] {
         this->Invoke(invocation, *reply);
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -1,6 +1,7 @@
 #ifndef SRC_AGENT_AGENT_H_
 #define SRC_AGENT_AGENT_H_
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -29,7 +30,9 @@
   }
   /// Writes a log line for each attempt that is still in flight.
   void LogCutOff() const;
-  void StopAccepting() {}
+  /// Refuses the calls of entries that do not know yet that the agent leaves,
+  /// until there have been none for a while.
+  void StopAccepting() const;
 
   bool OnServe(ServeRequest request,
                std::shared_ptr<AttemptReply> reply) override;
@@ -51,6 +54,7 @@
   mutable std::mutex mutex;
   std::optional<EngineState> state;
   mutable std::uint64_t load_sequence = 0;
+  std::atomic<TimePoint> last_call{TimePoint{}};
   std::map<AttemptId, std::weak_ptr<std::atomic<bool>>> cancels;
 };
 
