--- a/test/adapter/history_check_test.cc
+++ b/test/adapter/history_check_test.cc
@@ -93,7 +93,7 @@
     std::function<void(History&)> change;
     std::string_view violated;
   };
-  const auto text = [](std::string value, std::size_t call = 0) {
+  const auto text = [](const std::string& value, std::size_t call = 0) {
     return [=](History& h) { h.calls[call].text = value; };
   };
   const std::string whole = ExpectedText("lichen", "why?", 3);
