Propose the rehearsal's configuration on the genesis hash

Cause: the rehearsal was written before the configuration log was wired; its change named no prev_hash, was invalid, and no process became ready.

Change: prev_hash in support/rehearse.sh.

Conclusion: the rehearsal runs against the whole daemon.

--- a/support/rehearse.sh
+++ b/support/rehearse.sh
@@ -167,8 +167,8 @@
 "targets":[${targets%,}]}
 JSON
 )
-printf '{"type":"change","id":"%032x","base_version":0,"author":"rehearsal","time":0,"document":%s}' \
-  1 "$document" | curl -fsS --data-binary @- "http://$log/v1/streams/config/records" >/dev/null
+printf '{"type":"change","id":"%032x","base_version":0,"author":"rehearsal","time":0,"prev_hash":"%064d","document":%s}' \
+  1 0 "$document" | curl -fsS --data-binary @- "http://$log/v1/streams/config/records" >/dev/null
 for name in "${engines[@]}" "${services[@]}"; do
   write_settings "$name-agent" agent "${region[$name]}" "${region[$name]}-1" "$name" "${address[$name]}"
 done
