--- a/support/rehearse.sh
+++ b/support/rehearse.sh
@@ -82,7 +82,7 @@
 services=(booking1 booking2 booking3)
 declare -A region=([engine1]=north [engine2]=north [engine3]=north [engine4]=south
   [booking1]=north [booking2]=north [booking3]=south [entry1]=north [entry2]=south)
-declare -A address
+declare -A address gossip rpc
 port=21000
 for name in log hosts store "${engines[@]}" "${services[@]}" entry1 entry2; do
   address[$name]=$ip:$((port++))
@@ -112,7 +112,10 @@
 publish_hosts() {
   local rows=() name
   for name in "${engines[@]}" "${services[@]}"; do
-    rows+=("{\"id\":\"$name-agent\",\"role\":\"agent\",\"region\":\"${region[$name]}\",\"data_centre\":\"${region[$name]}-1\",\"address\":\"${address[$name-agent]}\",\"target\":\"$name\",\"state\":\"live\"}")
+    rows+=("{\"id\":\"$name-agent\",\"role\":\"agent\",\"region\":\"${region[$name]}\",\"data_centre\":\"${region[$name]}-1\",\"address\":\"${address[$name-agent]}\",\"gossip\":\"${gossip[$name-agent]:-}\",\"target\":\"$name\",\"state\":\"live\"}")
+  done
+  for name in entry1 entry2; do
+    rows+=("{\"id\":\"$name\",\"role\":\"entry\",\"region\":\"${region[$name]}\",\"data_centre\":\"${region[$name]}-1\",\"address\":\"${rpc[$name]:-127.0.0.1:1}\",\"gossip\":\"${gossip[$name]:-}\",\"state\":\"live\"}")
   done
   local IFS=,
   curl -fsS --max-time 5 -X PUT --data "{\"hosts\":[${rows[*]}]}" "http://$hosts/hosts" >/dev/null
@@ -120,10 +123,13 @@
 # Waits until a daemon has started and publishes the address of an agent.
 await_daemon() {
   local name=$1
+  gossip[$name]=$(address_of "$name" gossip)
   if [[ $name == *-agent ]]; then
     address[$name]=$(address_of "$name" rpc)
-    publish_hosts
+  else
+    rpc[$name]=$(address_of "$name" rpc)
   fi
+  publish_hosts
   wait_until is_ready "$(address_of "$name" operator)"
 }
 restart() {
