Add an HTTP connection that is never replaced

Cause: an order to an engine may go out only on the connection on which the engine answered the newest state read; the client picked any idle connection. A reader whose deadline passed could also be told "not sent" while the I/O thread was about to write. Change: HttpConnection owns one connection with an id; after its end every call is `kNotSent`. The progress is raised before the last look at the cancel flag.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -51,6 +51,12 @@
   });
 }
 
+/// The connection of an `HttpConnection`; used on the I/O thread only.
+struct HttpClient::Slot {
+  std::shared_ptr<beast::tcp_stream> connection;
+  bool opened = false;
+};
+
 struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
   explicit State(asio::io_context& context) : context(context) {}
 
@@ -62,18 +68,23 @@
     while (!connections.empty()) {
       StreamPtr connection = std::move(connections.back());
       connections.pop_back();
-      char byte = 0;
-      error_code error;
-      connection->socket().non_blocking(true, error);
-      connection->socket().receive(asio::buffer(&byte, 1),
-                                   Tcp::socket::message_peek, error);
-      if (error == asio::error::would_block) {
+      if (IsOpen(*connection)) {
         return connection;
       }
     }
     return nullptr;
   }
 
+  // Whether the server has neither closed the connection nor sent anything.
+  static bool IsOpen(beast::tcp_stream& connection) {
+    char byte = 0;
+    error_code error;
+    connection.socket().non_blocking(true, error);
+    connection.socket().receive(asio::buffer(&byte, 1),
+                                Tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+  }
+
   void PutIdle(const Address& address, StreamPtr connection) {
     auto& connections = this->idle[address];
     if (connections.size() < kIdleConnectionsPerAddress) {
@@ -82,12 +93,16 @@
     }
   }
 
+  // `slot` is null for a call that may use any connection.
   asio::awaitable<void> Run(std::shared_ptr<HttpStream> stream,
+                            std::shared_ptr<Slot> slot,
                             HttpCall call,
                             TimePoint deadline);
+  // Sets `reusable` if the connection can carry another call.
   asio::awaitable<HttpEnd> Transfer(HttpStream& stream,
                                     const HttpCall& call,
-                                    StreamPtr connection);
+                                    StreamPtr connection,
+                                    bool& reusable);
   static bool Deliver(HttpStream& stream, HttpEvent event) {
     return stream.events.try_push(std::move(event)) ==
            boost::fibers::channel_op_status::success;
@@ -98,13 +113,26 @@
 };
 
 asio::awaitable<void> HttpClient::State::Run(std::shared_ptr<HttpStream> stream,
+                                             std::shared_ptr<Slot> slot,
                                              HttpCall call,
                                              TimePoint deadline) {
   if (stream->cancelled.load()) {
     co_return;
   }
-  StreamPtr connection =
-      call.fresh_connection ? nullptr : this->TakeIdle(call.address);
+  StreamPtr connection;
+  if (slot != nullptr) {
+    connection = std::exchange(slot->connection, nullptr);
+    const bool ended =
+        slot->opened && (connection == nullptr || !IsOpen(*connection));
+    slot->opened = true;
+    if (ended) {
+      (void)Deliver(*stream, HttpEnd{HttpProgress::kNotSent, false,
+                                     "the connection has ended"});
+      co_return;
+    }
+  } else if (!call.fresh_connection) {
+    connection = this->TakeIdle(call.address);
+  }
   const bool connected = connection != nullptr;
   if (!connected) {
     connection = std::make_shared<beast::tcp_stream>(this->context);
@@ -123,10 +151,22 @@
     }
   }
   HttpEnd end{HttpProgress::kNotSent, false, error.message()};
-  if (!error && !stream->cancelled.load()) {
-    end = co_await this->Transfer(*stream, call, connection);
+  bool reusable = false;
+  if (!error) {
+    // Set before the last look at `cancelled`: a reader that cancels and then
+    // reads `kNotSent` can rely on it.
+    stream->progress.store(HttpProgress::kMaybeSent);
+    if (!stream->cancelled.load()) {
+      end = co_await this->Transfer(*stream, call, connection, reusable);
+    }
   }
   stream->close_connection = nullptr;
+  if (reusable && slot != nullptr) {
+    connection->expires_never();
+    slot->connection = std::move(connection);
+  } else if (reusable) {
+    this->PutIdle(call.address, std::move(connection));
+  }
   if (!Deliver(*stream, end)) {
     stream->events.close();
   }
@@ -134,7 +174,8 @@
 
 asio::awaitable<HttpEnd> HttpClient::State::Transfer(HttpStream& stream,
                                                      const HttpCall& call,
-                                                     StreamPtr connection) {
+                                                     StreamPtr connection,
+                                                     bool& reusable) {
   http::request<http::string_body> request;
   request.method_string(call.method);
   request.target(call.path);
@@ -151,7 +192,6 @@
   request.prepare_payload();
 
   error_code error;
-  stream.progress.store(HttpProgress::kMaybeSent);
   co_await http::async_write(*connection, request,
                              asio::redirect_error(asio::use_awaitable, error));
   if (error) {
@@ -191,10 +231,8 @@
     connection->close();
     co_return HttpEnd{HttpProgress::kAnswered, false, "reader is too slow"};
   }
-  if (parser.get().keep_alive() && buffer.size() == 0 &&
-      !stream.cancelled.load()) {
-    this->PutIdle(call.address, std::move(connection));
-  }
+  reusable = parser.get().keep_alive() && buffer.size() == 0 &&
+             !stream.cancelled.load();
   co_return HttpEnd{HttpProgress::kAnswered, true, ""};
 }
 
@@ -205,23 +243,32 @@
 
 std::shared_ptr<HttpStream> HttpClient::Start(HttpCall call,
                                               TimePoint deadline) {
+  return this->StartIn(nullptr, std::move(call), deadline);
+}
+
+std::shared_ptr<HttpStream> HttpClient::StartIn(std::shared_ptr<Slot> slot,
+                                                HttpCall call,
+                                                TimePoint deadline) {
   auto stream =
       std::make_shared<HttpStream>(this->state->context, kEventsPerCall);
   asio::co_spawn(
       this->state->context,
-      [state = this->state, stream, call = std::move(call),
-       deadline]() mutable {
-        return state->Run(stream, std::move(call), deadline);
+      [state = this->state, stream, slot = std::move(slot),
+       call = std::move(call), deadline]() mutable {
+        return state->Run(stream, std::move(slot), std::move(call), deadline);
       },
       asio::detached);
   return stream;
 }
 
 HttpResult HttpClient::Fetch(HttpCall call, TimePoint deadline) {
-  const auto stream = this->Start(std::move(call), deadline);
+  return Collect(*this->Start(std::move(call), deadline), deadline);
+}
+
+HttpResult HttpClient::Collect(HttpStream& stream, TimePoint deadline) {
   HttpResult result;
   while (true) {
-    HttpEvent event = stream->Next(deadline);
+    HttpEvent event = stream.Next(deadline);
     if (auto* head = std::get_if<HttpHead>(&event)) {
       result.status = head->status;
       result.headers = std::move(head->headers);
@@ -239,4 +286,19 @@
   }
 }
 
+HttpConnection::HttpConnection(HttpClient& client,
+                               Address address,
+                               std::uint64_t id)
+    : client(client),
+      address(std::move(address)),
+      id(id),
+      slot(std::make_shared<HttpClient::Slot>()) {}
+
+HttpResult HttpConnection::Fetch(HttpCall call, TimePoint deadline) {
+  call.address = this->address;
+  const auto stream =
+      this->client.StartIn(this->slot, std::move(call), deadline);
+  return HttpClient::Collect(*stream, deadline);
+}
+
 }  // namespace pimentospar
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -104,10 +104,39 @@
   [[nodiscard]] HttpResult Fetch(HttpCall call, TimePoint deadline);
 
  private:
+  friend class HttpConnection;
+
   struct State;
+  struct Slot;
+
+  std::shared_ptr<HttpStream> StartIn(std::shared_ptr<Slot> slot,
+                                      HttpCall call,
+                                      TimePoint deadline);
+  static HttpResult Collect(HttpStream& stream, TimePoint deadline);
+
   std::shared_ptr<State> state;
 };
 
+/// One TCP connection that carries calls one after the other. It is opened by
+/// the first call and never replaced: once it has ended, every further call
+/// ends with `kNotSent`.
+class HttpConnection {
+ public:
+  /// `id` is the caller's name for the connection.
+  HttpConnection(HttpClient& client, Address address, std::uint64_t id);
+
+  /// Makes a call and waits for the whole answer; one call at a time.
+  /// `kNotSent` in the result says that no byte has left the process.
+  [[nodiscard]] HttpResult Fetch(HttpCall call, TimePoint deadline);
+  [[nodiscard]] std::uint64_t Id() const { return this->id; }
+
+ private:
+  HttpClient& client;
+  Address address;
+  std::uint64_t id;
+  std::shared_ptr<HttpClient::Slot> slot;
+};
+
 }  // namespace pimentospar
 
 #endif  // SRC_NET_HTTP_CLIENT_H_
