--- a/src/agent/engine.cc
+++ b/src/agent/engine.cc
@@ -244,12 +244,15 @@
   const HttpResult result =
       this->http.Fetch({.address = this->address, .path = "/state"},
                        this->clock.Now() + kStateTimeout);
+  return result.complete && result.status == 200 ? ParseEngineState(result.body)
+                                                 : std::nullopt;
+}
+
+std::optional<EngineState> ParseEngineState(std::string_view text) {
   json::error_code error;
-  const json::value value = result.complete && result.status == 200
-                                ? json::parse(result.body, error)
-                                : json::value();
+  const json::value value = json::parse(text, error);
   const json::object* object = error ? nullptr : value.if_object();
-  if (object == nullptr) {
+  if (object == nullptr || !object->contains("incarnation")) {
     return std::nullopt;
   }
   EngineState state;
--- a/src/agent/engine.h
+++ b/src/agent/engine.h
@@ -47,6 +47,10 @@
   std::vector<EngineItem> items;
 };
 
+/// Reads the answer to `GET /state`; nothing if it is malformed.
+[[nodiscard]] std::optional<EngineState> ParseEngineState(
+    std::string_view text);
+
 /// Calls the target beside an agent over HTTP; used from fibers.
 class Engine {
  public:
--- /dev/null
+++ b/src/agent/target_records.h
@@ -0,0 +1,24 @@
+#ifndef SRC_AGENT_TARGET_RECORDS_H_
+#define SRC_AGENT_TARGET_RECORDS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "pimentospar/memory_account.h"
+
+namespace pimentospar {
+
+/// Writes a record of stream `target.<target>` as JSON.
+[[nodiscard]] std::string Encode(const TargetRecord& record,
+                                 const TargetId& target);
+/// Reads a record; nothing if it is malformed or of an unknown type.
+[[nodiscard]] std::optional<TargetRecord> DecodeTargetRecord(
+    std::string_view text);
+
+/// Writes the body of `POST /orders`.
+[[nodiscard]] std::string Encode(const Order& order);
+
+}  // namespace pimentospar
+
+#endif  // SRC_AGENT_TARGET_RECORDS_H_
