Drive the order manager with the log and the engine

Cause: the daemon did not call OrderManager. Change: OrderDriver carries out its actions on the control thread: records of stream target.<target>, state reads and orders on the connection asked for, reports to waiting fibers, counters. After being superseded it waits 5 to 10 s and takes a new epoch unless a newer agent of the target is alive.

--- /dev/null
+++ b/src/agent/order_driver.cc
@@ -0,0 +1,359 @@
+#include "agent/order_driver.h"
+
+#include <boost/json.hpp>
+
+#include "agent/target_records.h"
+#include "net/log_line.h"
+
+namespace pimentospar {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{20};
+constexpr std::size_t kRecordsPerRead = 200;
+constexpr std::chrono::seconds kStateTimeout{2};
+// An order to load answers after the transfer, which a crowded store slows
+// down. What has no answer by then is treated as lost.
+constexpr std::chrono::seconds kOrderTimeout{60};
+// A superseded agent waits this long, plus a random time of the same length,
+// so that two agents of one target do not replace each other at every step.
+constexpr std::chrono::seconds kRestartBackoff{5};
+// Adapters share this part of a target's memory: 1 part in 8.
+constexpr Bytes kAdapterPoolDivisor = 8;
+
+Item ToItem(const EngineItem& row) {
+  // An item that is still loading has a kind of its own; the name of an
+  // adapter is `model:adapter`.
+  const bool is_adapter = row.item.find(':') != std::string::npos;
+  return {is_adapter ? ItemKind::kAdapter : ItemKind::kWeights,
+          ItemId(row.item)};
+}
+
+EngineReport ToReport(const EngineState& state) {
+  EngineReport report{Incarnation{state.incarnation}, state.fencing,
+                      state.capacity_bytes, state.kv_used_bytes};
+  for (const EngineItem& row : state.items) {
+    report.items.push_back({ToItem(row), row.bytes});
+  }
+  // The configuration gives a role no memory of its own.
+  if (!state.role.empty()) {
+    report.items.push_back({{ItemKind::kRole, ItemId(state.role)}, 0});
+  }
+  return report;
+}
+
+OrderOutcome ToOutcome(const HttpResult& result) {
+  if (result.progress == HttpProgress::kNotSent) {
+    return OrderOutcome::kNotSent;
+  }
+  if (!result.complete) {
+    return OrderOutcome::kLost;
+  }
+  if (result.status == 200) {
+    return OrderOutcome::kDone;
+  }
+  if (result.status == 409) {
+    boost::json::error_code error;
+    const auto body = boost::json::parse(result.body, error);
+    const auto* object = error ? nullptr : body.if_object();
+    const auto* reason =
+        object == nullptr ? nullptr : object->if_contains("reason");
+    return reason != nullptr && *reason == "fenced" ? OrderOutcome::kFenced
+                                                    : OrderOutcome::kRefused;
+  }
+  // Another 4xx says that the engine did not act; a 5xx says nothing.
+  return result.status < 500 ? OrderOutcome::kRefused : OrderOutcome::kLost;
+}
+
+Bytes AdapterPool(const Configuration& configuration, Bytes memory) {
+  const bool any = std::ranges::any_of(
+      configuration.models,
+      [](const ModelConfig& model) { return !model.adapters.empty(); });
+  return any ? memory / kAdapterPoolDivisor : 0;
+}
+
+}  // namespace
+
+OrderDriver::OrderDriver(Process& process,
+                         Address engine,
+                         IsReplaced is_replaced)
+    : process(process),
+      engine(std::move(engine)),
+      is_replaced(std::move(is_replaced)),
+      target(process.settings.target) {}
+
+void OrderDriver::Start() {
+  this->process.Repeat(kTick, [this] { this->Tick(); });
+}
+
+const MemoryAccount* OrderDriver::Account() const {
+  return this->manager != nullptr && this->manager->IsActive()
+             ? &this->manager->Account()
+             : nullptr;
+}
+
+void OrderDriver::Tick() {
+  const TimePoint now = this->process.clock.Now();
+  if (this->restart_at) {
+    if (now < *this->restart_at) {
+      return;
+    }
+    if (this->process.IsDraining() || this->is_replaced()) {
+      this->restart_at = now + kRestartBackoff;
+      return;
+    }
+    this->restart_at.reset();
+    this->manager.reset();
+  }
+  if (this->manager != nullptr) {
+    this->Carry(this->manager->OnTime());
+    return;
+  }
+  const ActiveConfigPtr active = this->process.config.Get();
+  const TargetConfig* found =
+      active == nullptr ? nullptr
+                        : FindTarget(active->configuration, this->target);
+  if (found != nullptr && found->kind == TargetKind::kModels) {
+    this->StartManager(*found, active->configuration);
+  }
+}
+
+void OrderDriver::StartManager(const TargetConfig& found,
+                               const Configuration& configuration) {
+  OrderManager::Options options;
+  options.instance = this->process.instance;
+  options.checks_fencing = found.checks_fencing;
+  options.memory.capacity = found.memory_bytes;
+  options.memory.adapter_pool = AdapterPool(configuration, found.memory_bytes);
+  options.log_retention =
+      std::chrono::duration_cast<Duration>(configuration.log.retention);
+  this->stream = "target." + this->target.value;
+  ++this->run;
+  this->manager = std::make_unique<OrderManager>(options, this->process.clock,
+                                                 this->process.random);
+  this->Carry(this->manager->Start());
+}
+
+void OrderDriver::Carry(OrderActions actions) {
+  for (const OrderAction& action : actions) {
+    std::visit([this](const auto& chosen) { this->Do(chosen); }, action);
+  }
+}
+
+void OrderDriver::Spawn(std::function<void()> step) {
+  if (!this->process.control.TryRun(step)) {
+    // The manager waits for the answer to this action, so it is carried out
+    // here after all.
+    step();
+  }
+}
+
+void OrderDriver::Do(const AppendRecord& action) {
+  this->Spawn([this, run = this->run, record = action.record] {
+    const auto result =
+        this->process.log.Append(this->stream, Encode(record, this->target));
+    if (run != this->run) {
+      return;
+    }
+    const auto* appended = std::get_if<control::Appended>(&result);
+    this->Carry(appended != nullptr ? this->manager->OnAppendAnswered(
+                                          record.id, appended->offset)
+                                    : this->manager->OnAppendLost(record.id));
+  });
+}
+
+void OrderDriver::Do(const ReadTargetStream& action) {
+  this->Spawn([this, run = this->run, from = action.from] {
+    this->ReadStream(from, run);
+  });
+}
+
+void OrderDriver::ReadStream(LogOffset from, std::uint64_t run) {
+  std::vector<StoredTargetRecord> records;
+  // An empty batch means the tail, so a page without any readable record is
+  // skipped.
+  while (records.empty()) {
+    const auto page =
+        this->process.log.Read(this->stream, from, kRecordsPerRead);
+    if (run != this->run) {
+      return;
+    }
+    if (!page) {
+      this->Carry(this->manager->OnReadFailed());
+      return;
+    }
+    from = page->next;
+    for (const control::LogRecord& record : page->records) {
+      if (auto read = DecodeTargetRecord(record.body)) {
+        records.push_back({record.offset, std::move(*read)});
+        continue;
+      }
+      LogWarning("target_record_unreadable",
+                 {{"stream", this->stream}, {"offset", record.offset.value}});
+    }
+    if (page->records.empty()) {
+      break;
+    }
+  }
+  this->Carry(this->manager->OnRecords(records, from));
+}
+
+void OrderDriver::Do(const SendOrder& action) {
+  const auto found = this->connections.find(action.connection);
+  if (found == this->connections.end()) {
+    this->Spawn([this, run = this->run, id = action.order.id] {
+      if (run == this->run) {
+        this->Carry(this->manager->OnOrderEnded(id, OrderOutcome::kNotSent));
+      }
+    });
+    return;
+  }
+  found->second.is_busy = true;
+  this->Spawn([this, run = this->run, order = action.order,
+               connection = found->second.http] {
+    this->Deliver(connection, order, run);
+  });
+}
+
+void OrderDriver::Deliver(const std::shared_ptr<HttpConnection>& connection,
+                          const Order& order,
+                          std::uint64_t run) {
+  const HttpResult result = connection->Fetch(
+      {.method = "POST", .path = "/orders", .body = Encode(order)},
+      this->process.clock.Now() + kOrderTimeout);
+  const OrderOutcome outcome = ToOutcome(result);
+  this->connections.erase(ConnectionId{connection->Id()});
+  this->CountOutcome(order, outcome);
+  if (run == this->run) {
+    this->Carry(this->manager->OnOrderEnded(order.id, outcome));
+  }
+}
+
+void OrderDriver::CountOutcome(const Order& order, OrderOutcome outcome) {
+  if (outcome == OrderOutcome::kNotSent) {
+    return;
+  }
+  this->process.metrics.Count(Event::kOrderSent);
+  if (outcome == OrderOutcome::kLost) {
+    this->process.metrics.Count(Event::kOrderUnknown);
+    LogWarning("order_unknown",
+               {{"order", order.id.value}, {"item", order.item.id.value}});
+  }
+  if (outcome == OrderOutcome::kDone && order.kind != OrderKind::kFence) {
+    const bool loaded = order.kind == OrderKind::kLoad;
+    this->process.metrics.Count(loaded ? Event::kLoadDone : Event::kUnloadDone);
+    LogInfo(loaded ? "item_loaded" : "item_unloaded",
+            {{"item", order.item.id.value}, {"bytes", order.bytes}});
+  }
+}
+
+std::shared_ptr<HttpConnection> OrderDriver::TakeConnection() {
+  for (auto& [id, connection] : this->connections) {
+    if (!connection.is_busy) {
+      connection.is_busy = true;
+      return connection.http;
+    }
+  }
+  const ConnectionId id{++this->connections_opened};
+  auto http = std::make_shared<HttpConnection>(this->process.http, this->engine,
+                                               id.value);
+  this->connections[id] = {http, true};
+  return http;
+}
+
+void OrderDriver::Do(const ReadState& action) {
+  this->Spawn([this, run = this->run, read = action.read,
+               connection = this->TakeConnection()] {
+    this->FetchState(connection, read, run);
+  });
+}
+
+void OrderDriver::FetchState(const std::shared_ptr<HttpConnection>& connection,
+                             StateReadId read,
+                             std::uint64_t run) {
+  const ConnectionId id{connection->Id()};
+  const HttpResult result = connection->Fetch(
+      {.path = "/state"}, this->process.clock.Now() + kStateTimeout);
+  const auto state = result.complete && result.status == 200
+                         ? ParseEngineState(result.body)
+                         : std::nullopt;
+  if (state) {
+    this->connections[id].is_busy = false;
+  } else {
+    this->connections.erase(id);
+  }
+  if (run != this->run) {
+    return;
+  }
+  this->Carry(state ? this->manager->OnState(read, id, ToReport(*state))
+                    : this->manager->OnStateLost(read));
+}
+
+void OrderDriver::Do(const ItemReport& action) {
+  LogDebug("item_report", {{"item", action.item.id.value},
+                           {"result", static_cast<int>(action.result)}});
+  const auto [first, last] = this->waiters.equal_range(action.item);
+  std::vector<Waiter> ended;
+  for (auto waiter = first; waiter != last; ++waiter) {
+    ended.push_back(waiter->second);
+  }
+  this->waiters.erase(first, last);
+  for (const Waiter& waiter : ended) {
+    waiter->set_value(action.result);
+  }
+}
+
+void OrderDriver::Do(const Superseded&) {
+  constexpr Duration kBackoff = kRestartBackoff;
+  const Duration extra{static_cast<Duration::rep>(this->process.random.Below(
+      static_cast<std::uint64_t>(kBackoff.count())))};
+  LogWarning("target_superseded", {{"target", this->target.value},
+                                   {"token", this->manager->Token().value}});
+  this->restart_at = this->process.clock.Now() + kBackoff + extra;
+  // Answers for the manager are dropped from now on.
+  ++this->run;
+}
+
+std::optional<ItemResult> OrderDriver::Load(const Item& item,
+                                            Bytes bytes,
+                                            TimePoint deadline) {
+  if (this->Account() == nullptr) {
+    return std::nullopt;
+  }
+  const Waiter waiter = std::make_shared<boost::fibers::promise<ItemResult>>();
+  this->waiters.emplace(item, waiter);
+  return this->Wait(item, this->manager->OnLoadWanted(item, bytes), waiter,
+                    deadline);
+}
+
+std::optional<ItemResult> OrderDriver::Unload(const Item& item,
+                                              TimePoint deadline) {
+  if (this->Account() == nullptr) {
+    return std::nullopt;
+  }
+  const Waiter waiter = std::make_shared<boost::fibers::promise<ItemResult>>();
+  this->waiters.emplace(item, waiter);
+  return this->Wait(item, this->manager->OnUnloadWanted(item), waiter,
+                    deadline);
+}
+
+std::optional<ItemResult> OrderDriver::Wait(const Item& item,
+                                            OrderActions actions,
+                                            const Waiter& waiter,
+                                            TimePoint deadline) {
+  auto result = waiter->get_future();
+  this->Carry(std::move(actions));
+  if (result.wait_until(deadline) == boost::fibers::future_status::ready) {
+    return result.get();
+  }
+  const auto [first, last] = this->waiters.equal_range(item);
+  for (auto known = first; known != last; ++known) {
+    if (known->second == waiter) {
+      this->waiters.erase(known);
+      break;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/agent/order_driver.h
@@ -0,0 +1,94 @@
+#ifndef SRC_AGENT_ORDER_DRIVER_H_
+#define SRC_AGENT_ORDER_DRIVER_H_
+
+#include <boost/fiber/future.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "agent/engine.h"
+#include "daemon/process.h"
+#include "pimentospar/memory_account.h"
+
+namespace pimentospar {
+
+/// Drives the `OrderManager` of a target of kind models with the log and the
+/// engine. Everything runs on the control thread.
+class OrderDriver {
+ public:
+  /// Returns whether another live agent of the target has started after this
+  /// one, so that this one must leave the target to it.
+  using IsReplaced = std::function<bool()>;
+
+  OrderDriver(Process& process, Address engine, IsReplaced is_replaced);
+  OrderDriver(const OrderDriver&) = delete;
+  OrderDriver& operator=(const OrderDriver&) = delete;
+
+  /// Follows the target once the configuration names it as one of models.
+  void Start();
+
+  /// Loads or unloads an item; suspends the calling fiber of the control
+  /// thread, at most up to the deadline. Nothing if the end is not known then.
+  [[nodiscard]] std::optional<ItemResult> Load(const Item& item,
+                                               Bytes bytes,
+                                               TimePoint deadline);
+  [[nodiscard]] std::optional<ItemResult> Unload(const Item& item,
+                                                 TimePoint deadline);
+
+  /// The memory of the target, or null while it is not known.
+  [[nodiscard]] const MemoryAccount* Account() const;
+
+ private:
+  /// A connection to the engine, and whether a call is under way on it.
+  struct Connection {
+    std::shared_ptr<HttpConnection> http;
+    bool is_busy = false;
+  };
+  using Waiter = std::shared_ptr<boost::fibers::promise<ItemResult>>;
+
+  void Tick();
+  void StartManager(const TargetConfig& found,
+                    const Configuration& configuration);
+  void Carry(OrderActions actions);
+  void Do(const AppendRecord& action);
+  void Do(const ReadTargetStream& action);
+  void Do(const SendOrder& action);
+  void Do(const ReadState& action);
+  void Do(const ItemReport& action);
+  void Do(const Superseded& action);
+  void ReadStream(LogOffset from, std::uint64_t run);
+  void Deliver(const std::shared_ptr<HttpConnection>& connection,
+               const Order& order,
+               std::uint64_t run);
+  void FetchState(const std::shared_ptr<HttpConnection>& connection,
+                  StateReadId read,
+                  std::uint64_t run);
+  [[nodiscard]] std::shared_ptr<HttpConnection> TakeConnection();
+  [[nodiscard]] std::optional<ItemResult> Wait(const Item& item,
+                                               OrderActions actions,
+                                               const Waiter& waiter,
+                                               TimePoint deadline);
+  void CountOutcome(const Order& order, OrderOutcome outcome);
+  /// Runs a step that waits for the network in a fiber of its own.
+  void Spawn(std::function<void()> step);
+
+  Process& process;
+  Address engine;
+  IsReplaced is_replaced;
+  std::string stream;
+  TargetId target;
+  std::unique_ptr<OrderManager> manager;
+  /// Numbers the managers; answers for an earlier one are dropped.
+  std::uint64_t run = 0;
+  /// Set while the agent waits before it takes a new epoch.
+  std::optional<TimePoint> restart_at;
+  std::uint64_t connections_opened = 0;
+  std::map<ConnectionId, Connection> connections;
+  std::multimap<Item, Waiter> waiters;
+};
+
+}  // namespace pimentospar
+
+#endif  // SRC_AGENT_ORDER_DRIVER_H_
