--- a/schema/agent.capnp
+++ b/schema/agent.capnp
@@ -78,6 +78,13 @@
   invoke @1 (invocation :Invocation) -> (outcome :Outcome);
   cancel @2 (attempt :UInt64) -> ();
   configSince @3 (version :UInt64, hasVersion :Bool) -> (update :ConfigUpdate);
+  # Asks the owner of the fallback share for one load.
+  requestLoad @4 (target :Text, model :Text, loadedAnywhere :Bool)
+      -> (granted :Bool, grant :LoadGrant);
+  # Tells the owner that the load has ended or will not be made.
+  loadEnded @5 (grant :LoadGrant) -> ();
+  # Asks an agent not to unload its copy for a time; refused if it has none.
+  keepCopy @6 (model :Text, keepMs :UInt32) -> (kept :Bool);
 }
 
 struct ConfigUpdate {
@@ -95,3 +102,9 @@
   timeMs @1 :Int64;
   body @2 :Data;
 }
+
+struct LoadGrant {
+  # A grant of the fallback share, as the instance that gave it numbers it.
+  instance @0 :UInt64;
+  number @1 :UInt64;
+}
--- a/schema/agent.capnp.c++
+++ b/schema/agent.capnp.c++
@@ -942,7 +942,7 @@
   0, 0, nullptr, nullptr, nullptr, { &s_b17afaef873a75e1, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<59> b_88c87d91c141a04e = {
+static const ::capnp::_::AlignedData<92> b_88c87d91c141a04e = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      78, 160,  65, 193, 145, 125, 200, 136,
      12,   0,   0,   0,   3,   0,   0,   0,
@@ -952,46 +952,70 @@
      21,   0,   0,   0, 146,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,   7,   1,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 199,   1,   0,   0,
+     65,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      97, 103, 101, 110, 116,  46,  99,  97,
     112, 110, 112,  58,  65, 103, 101, 110,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     28,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      43,  74, 227,  25, 162, 202,  64, 254,
       5, 213,  29, 179, 160,  88,  49, 199,
-    113,   0,   0,   0,  50,   0,   0,   0,
+    209,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    197,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      10,   0, 245,  68, 122,  66, 101, 242,
     117,  25,   5,  78,  81, 149, 177, 181,
-     89,   0,   0,   0,  58,   0,   0,   0,
+    185,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    173,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     107, 130, 211, 155, 234, 202,  77, 132,
      67,   2, 125, 204,  30, 195, 163, 200,
-     65,   0,   0,   0,  58,   0,   0,   0,
+    161,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     203, 229, 252,  68,  26, 153, 241, 228,
      82,  18, 186, 138,  49,  24, 183, 139,
-     41,   0,   0,   0,  98,   0,   0,   0,
+    137,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+     29,  92,  95, 180,  91, 111,  93, 152,
+    216,  72, 234, 201,  37,  58,   3, 210,
+    117,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+    145,  37,  96,  21,   2, 167,  10, 141,
+     90,  71,  71, 149,  64, 144, 233, 202,
+     97,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     89,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+    166, 120,   4,  16,  79, 102,   1, 170,
+    208, 196,  90,  23,  78, 192,  76, 206,
+     77,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
     115, 101, 114, 118, 101,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     105, 110, 118, 111, 107, 101,   0,   0,
@@ -1001,6 +1025,15 @@
      99, 111, 110, 102, 105, 103,  83, 105,
     110,  99, 101,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101, 113, 117, 101, 115, 116,  76,
+    111,  97, 100,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    108, 111,  97, 100,  69, 110, 100, 101,
+    100,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    107, 101, 101, 112,  67, 111, 112, 121,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_88c87d91c141a04e = b_88c87d91c141a04e.words;
@@ -1008,17 +1041,23 @@
 static const ::capnp::_::RawSchema* const d_88c87d91c141a04e[] = {
   &s_844dcaea9bd3826b,
   &s_8bb718318aba1252,
+  &s_8d0aa70215602591,
+  &s_985d6f5bb45f5c1d,
+  &s_aa01664f100478a6,
   &s_b5b195514e051975,
   &s_c73158a0b31dd505,
   &s_c8a3c31ecc7d0243,
+  &s_cae990409547475a,
+  &s_ce4cc04e175ac4d0,
+  &s_d2033a25c9ea48d8,
   &s_e4f1991a44fce5cb,
   &s_f265427a44f5000a,
   &s_fe40caa219e34a2b,
 };
-static const uint16_t m_88c87d91c141a04e[] = {2, 3, 1, 0};
+static const uint16_t m_88c87d91c141a04e[] = {2, 3, 1, 6, 5, 4, 0};
 const ::capnp::_::RawSchema s_88c87d91c141a04e = {
-  0x88c87d91c141a04e, b_88c87d91c141a04e.words, 59, d_88c87d91c141a04e, m_88c87d91c141a04e,
-  8, 4, nullptr, nullptr, nullptr, { &s_88c87d91c141a04e, nullptr, nullptr, 0, 0, nullptr }
+  0x88c87d91c141a04e, b_88c87d91c141a04e.words, 92, d_88c87d91c141a04e, m_88c87d91c141a04e,
+  14, 7, nullptr, nullptr, nullptr, { &s_88c87d91c141a04e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_fe40caa219e34a2b = {
@@ -1399,6 +1438,319 @@
   1, 1, i_8bb718318aba1252, nullptr, nullptr, { &s_8bb718318aba1252, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_985d6f5bb45f5c1d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     29,  92,  95, 180,  91, 111,  93, 152,
+     18,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101, 110, 116,  46,  99,  97,
+    112, 110, 112,  58,  65, 103, 101, 110,
+    116,  46, 114, 101, 113, 117, 101, 115,
+    116,  76, 111,  97, 100,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    116,  97, 114, 103, 101, 116,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 111, 100, 101, 108,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 111,  97, 100, 101, 100,  65, 110,
+    121, 119, 104, 101, 114, 101,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_985d6f5bb45f5c1d = b_985d6f5bb45f5c1d.words;
+#if !CAPNP_LITE
+static const uint16_t m_985d6f5bb45f5c1d[] = {2, 1, 0};
+static const uint16_t i_985d6f5bb45f5c1d[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_985d6f5bb45f5c1d = {
+  0x985d6f5bb45f5c1d, b_985d6f5bb45f5c1d.words, 64, nullptr, m_985d6f5bb45f5c1d,
+  0, 3, i_985d6f5bb45f5c1d, nullptr, nullptr, { &s_985d6f5bb45f5c1d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_d2033a25c9ea48d8 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    216,  72, 234, 201,  37,  58,   3, 210,
+     18,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101, 110, 116,  46,  99,  97,
+    112, 110, 112,  58,  65, 103, 101, 110,
+    116,  46, 114, 101, 113, 117, 101, 115,
+    116,  76, 111,  97, 100,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    103, 114,  97, 110, 116, 101, 100,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 114,  97, 110, 116,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    115, 213, 225,  60,  98,  52,  78, 212,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d2033a25c9ea48d8 = b_d2033a25c9ea48d8.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d2033a25c9ea48d8[] = {
+  &s_d44e34623ce1d573,
+};
+static const uint16_t m_d2033a25c9ea48d8[] = {1, 0};
+static const uint16_t i_d2033a25c9ea48d8[] = {0, 1};
+const ::capnp::_::RawSchema s_d2033a25c9ea48d8 = {
+  0xd2033a25c9ea48d8, b_d2033a25c9ea48d8.words, 48, d_d2033a25c9ea48d8, m_d2033a25c9ea48d8,
+  1, 2, i_d2033a25c9ea48d8, nullptr, nullptr, { &s_d2033a25c9ea48d8, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_8d0aa70215602591 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    145,  37,  96,  21,   2, 167,  10, 141,
+     18,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101, 110, 116,  46,  99,  97,
+    112, 110, 112,  58,  65, 103, 101, 110,
+    116,  46, 108, 111,  97, 100,  69, 110,
+    100, 101, 100,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    103, 114,  97, 110, 116,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    115, 213, 225,  60,  98,  52,  78, 212,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8d0aa70215602591 = b_8d0aa70215602591.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_8d0aa70215602591[] = {
+  &s_d44e34623ce1d573,
+};
+static const uint16_t m_8d0aa70215602591[] = {0};
+static const uint16_t i_8d0aa70215602591[] = {0};
+const ::capnp::_::RawSchema s_8d0aa70215602591 = {
+  0x8d0aa70215602591, b_8d0aa70215602591.words, 33, d_8d0aa70215602591, m_8d0aa70215602591,
+  1, 1, i_8d0aa70215602591, nullptr, nullptr, { &s_8d0aa70215602591, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_cae990409547475a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     90,  71,  71, 149,  64, 144, 233, 202,
+     18,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101, 110, 116,  46,  99,  97,
+    112, 110, 112,  58,  65, 103, 101, 110,
+    116,  46, 108, 111,  97, 100,  69, 110,
+    100, 101, 100,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_cae990409547475a = b_cae990409547475a.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_cae990409547475a = {
+  0xcae990409547475a, b_cae990409547475a.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_cae990409547475a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_aa01664f100478a6 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    166, 120,   4,  16,  79, 102,   1, 170,
+     18,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101, 110, 116,  46,  99,  97,
+    112, 110, 112,  58,  65, 103, 101, 110,
+    116,  46, 107, 101, 101, 112,  67, 111,
+    112, 121,  36,  80,  97, 114,  97, 109,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    109, 111, 100, 101, 108,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    107, 101, 101, 112,  77, 115,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_aa01664f100478a6 = b_aa01664f100478a6.words;
+#if !CAPNP_LITE
+static const uint16_t m_aa01664f100478a6[] = {1, 0};
+static const uint16_t i_aa01664f100478a6[] = {0, 1};
+const ::capnp::_::RawSchema s_aa01664f100478a6 = {
+  0xaa01664f100478a6, b_aa01664f100478a6.words, 48, nullptr, m_aa01664f100478a6,
+  0, 2, i_aa01664f100478a6, nullptr, nullptr, { &s_aa01664f100478a6, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_ce4cc04e175ac4d0 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    208, 196,  90,  23,  78, 192,  76, 206,
+     18,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101, 110, 116,  46,  99,  97,
+    112, 110, 112,  58,  65, 103, 101, 110,
+    116,  46, 107, 101, 101, 112,  67, 111,
+    112, 121,  36,  82, 101, 115, 117, 108,
+    116, 115,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    107, 101, 112, 116,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ce4cc04e175ac4d0 = b_ce4cc04e175ac4d0.words;
+#if !CAPNP_LITE
+static const uint16_t m_ce4cc04e175ac4d0[] = {0};
+static const uint16_t i_ce4cc04e175ac4d0[] = {0};
+const ::capnp::_::RawSchema s_ce4cc04e175ac4d0 = {
+  0xce4cc04e175ac4d0, b_ce4cc04e175ac4d0.words, 33, nullptr, m_ce4cc04e175ac4d0,
+  0, 1, i_ce4cc04e175ac4d0, nullptr, nullptr, { &s_ce4cc04e175ac4d0, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<115> b_cadecb8fcb4681a8 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     168, 129,  70, 203, 143, 203, 222, 202,
@@ -1602,6 +1954,65 @@
   0, 3, i_dba68ea68d623c2b, nullptr, nullptr, { &s_dba68ea68d623c2b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_d44e34623ce1d573 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    115, 213, 225,  60,  98,  52,  78, 212,
+     12,   0,   0,   0,   1,   0,   2,   0,
+    129,  64,  47,  94, 217, 195, 167, 177,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101, 110, 116,  46,  99,  97,
+    112, 110, 112,  58,  76, 111,  97, 100,
+     71, 114,  97, 110, 116,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    105, 110, 115, 116,  97, 110,  99, 101,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 117, 109,  98, 101, 114,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d44e34623ce1d573 = b_d44e34623ce1d573.words;
+#if !CAPNP_LITE
+static const uint16_t m_d44e34623ce1d573[] = {0, 1};
+static const uint16_t i_d44e34623ce1d573[] = {0, 1};
+const ::capnp::_::RawSchema s_d44e34623ce1d573 = {
+  0xd44e34623ce1d573, b_d44e34623ce1d573.words, 48, nullptr, m_d44e34623ce1d573,
+  0, 2, i_d44e34623ce1d573, nullptr, nullptr, { &s_d44e34623ce1d573, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1753,6 +2164,36 @@
       "agent.capnp:Agent", "configSince",
       0x88c87d91c141a04eull, 3);
 }
+::capnp::Request< ::pimentospar::wire::Agent::RequestLoadParams,  ::pimentospar::wire::Agent::RequestLoadResults>
+Agent::Client::requestLoadRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::pimentospar::wire::Agent::RequestLoadParams,  ::pimentospar::wire::Agent::RequestLoadResults>(
+      0x88c87d91c141a04eull, 4, sizeHint);
+}
+::kj::Promise<void> Agent::Server::requestLoad(RequestLoadContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "agent.capnp:Agent", "requestLoad",
+      0x88c87d91c141a04eull, 4);
+}
+::capnp::Request< ::pimentospar::wire::Agent::LoadEndedParams,  ::pimentospar::wire::Agent::LoadEndedResults>
+Agent::Client::loadEndedRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::pimentospar::wire::Agent::LoadEndedParams,  ::pimentospar::wire::Agent::LoadEndedResults>(
+      0x88c87d91c141a04eull, 5, sizeHint);
+}
+::kj::Promise<void> Agent::Server::loadEnded(LoadEndedContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "agent.capnp:Agent", "loadEnded",
+      0x88c87d91c141a04eull, 5);
+}
+::capnp::Request< ::pimentospar::wire::Agent::KeepCopyParams,  ::pimentospar::wire::Agent::KeepCopyResults>
+Agent::Client::keepCopyRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::pimentospar::wire::Agent::KeepCopyParams,  ::pimentospar::wire::Agent::KeepCopyResults>(
+      0x88c87d91c141a04eull, 6, sizeHint);
+}
+::kj::Promise<void> Agent::Server::keepCopy(KeepCopyContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "agent.capnp:Agent", "keepCopy",
+      0x88c87d91c141a04eull, 6);
+}
 ::capnp::Capability::Server::DispatchCallResult Agent::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1791,6 +2232,24 @@
              ::pimentospar::wire::Agent::ConfigSinceParams,  ::pimentospar::wire::Agent::ConfigSinceResults>(context)),
         false
       };
+    case 4:
+      return {
+        requestLoad(::capnp::Capability::Server::internalGetTypedContext<
+             ::pimentospar::wire::Agent::RequestLoadParams,  ::pimentospar::wire::Agent::RequestLoadResults>(context)),
+        false
+      };
+    case 5:
+      return {
+        loadEnded(::capnp::Capability::Server::internalGetTypedContext<
+             ::pimentospar::wire::Agent::LoadEndedParams,  ::pimentospar::wire::Agent::LoadEndedResults>(context)),
+        false
+      };
+    case 6:
+      return {
+        keepCopy(::capnp::Capability::Server::internalGetTypedContext<
+             ::pimentospar::wire::Agent::KeepCopyParams,  ::pimentospar::wire::Agent::KeepCopyResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1870,6 +2329,54 @@
 constexpr ::capnp::_::RawSchema const* Agent::ConfigSinceResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Agent::RequestLoadParams
+constexpr uint16_t Agent::RequestLoadParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Agent::RequestLoadParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Agent::RequestLoadParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Agent::RequestLoadParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Agent::RequestLoadResults
+constexpr uint16_t Agent::RequestLoadResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Agent::RequestLoadResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Agent::RequestLoadResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Agent::RequestLoadResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Agent::LoadEndedParams
+constexpr uint16_t Agent::LoadEndedParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Agent::LoadEndedParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Agent::LoadEndedParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Agent::LoadEndedParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Agent::LoadEndedResults
+constexpr uint16_t Agent::LoadEndedResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Agent::LoadEndedResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Agent::LoadEndedResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Agent::LoadEndedResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Agent::KeepCopyParams
+constexpr uint16_t Agent::KeepCopyParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Agent::KeepCopyParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Agent::KeepCopyParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Agent::KeepCopyParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Agent::KeepCopyResults
+constexpr uint16_t Agent::KeepCopyResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Agent::KeepCopyResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Agent::KeepCopyResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Agent::KeepCopyResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // ConfigUpdate
 constexpr uint16_t ConfigUpdate::_capnpPrivate::dataWordSize;
 constexpr uint16_t ConfigUpdate::_capnpPrivate::pointerCount;
@@ -1886,6 +2393,14 @@
 constexpr ::capnp::_::RawSchema const* ConfigRecord::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// LoadGrant
+constexpr uint16_t LoadGrant::_capnpPrivate::dataWordSize;
+constexpr uint16_t LoadGrant::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind LoadGrant::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* LoadGrant::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/schema/agent.capnp.h
+++ b/schema/agent.capnp.h
@@ -36,8 +36,15 @@
 CAPNP_DECLARE_SCHEMA(c8a3c31ecc7d0243);
 CAPNP_DECLARE_SCHEMA(e4f1991a44fce5cb);
 CAPNP_DECLARE_SCHEMA(8bb718318aba1252);
+CAPNP_DECLARE_SCHEMA(985d6f5bb45f5c1d);
+CAPNP_DECLARE_SCHEMA(d2033a25c9ea48d8);
+CAPNP_DECLARE_SCHEMA(8d0aa70215602591);
+CAPNP_DECLARE_SCHEMA(cae990409547475a);
+CAPNP_DECLARE_SCHEMA(aa01664f100478a6);
+CAPNP_DECLARE_SCHEMA(ce4cc04e175ac4d0);
 CAPNP_DECLARE_SCHEMA(cadecb8fcb4681a8);
 CAPNP_DECLARE_SCHEMA(dba68ea68d623c2b);
+CAPNP_DECLARE_SCHEMA(d44e34623ce1d573);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -185,6 +192,12 @@
   struct CancelResults;
   struct ConfigSinceParams;
   struct ConfigSinceResults;
+  struct RequestLoadParams;
+  struct RequestLoadResults;
+  struct LoadEndedParams;
+  struct LoadEndedResults;
+  struct KeepCopyParams;
+  struct KeepCopyResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -314,6 +327,96 @@
   };
 };
 
+struct Agent::RequestLoadParams {
+  RequestLoadParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(985d6f5bb45f5c1d, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::RequestLoadResults {
+  RequestLoadResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d2033a25c9ea48d8, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::LoadEndedParams {
+  LoadEndedParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8d0aa70215602591, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::LoadEndedResults {
+  LoadEndedResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cae990409547475a, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::KeepCopyParams {
+  KeepCopyParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aa01664f100478a6, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Agent::KeepCopyResults {
+  KeepCopyResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ce4cc04e175ac4d0, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ConfigUpdate {
   ConfigUpdate() = delete;
 
@@ -344,6 +447,21 @@
   };
 };
 
+struct LoadGrant {
+  LoadGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d44e34623ce1d573, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Request::Reader {
@@ -1238,6 +1356,12 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::pimentospar::wire::Agent::ConfigSinceParams,  ::pimentospar::wire::Agent::ConfigSinceResults> configSinceRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pimentospar::wire::Agent::RequestLoadParams,  ::pimentospar::wire::Agent::RequestLoadResults> requestLoadRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pimentospar::wire::Agent::LoadEndedParams,  ::pimentospar::wire::Agent::LoadEndedResults> loadEndedRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pimentospar::wire::Agent::KeepCopyParams,  ::pimentospar::wire::Agent::KeepCopyResults> keepCopyRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1270,6 +1394,18 @@
   typedef  ::pimentospar::wire::Agent::ConfigSinceResults ConfigSinceResults;
   typedef ::capnp::CallContext<ConfigSinceParams, ConfigSinceResults> ConfigSinceContext;
   virtual ::kj::Promise<void> configSince(ConfigSinceContext context);
+  typedef  ::pimentospar::wire::Agent::RequestLoadParams RequestLoadParams;
+  typedef  ::pimentospar::wire::Agent::RequestLoadResults RequestLoadResults;
+  typedef ::capnp::CallContext<RequestLoadParams, RequestLoadResults> RequestLoadContext;
+  virtual ::kj::Promise<void> requestLoad(RequestLoadContext context);
+  typedef  ::pimentospar::wire::Agent::LoadEndedParams LoadEndedParams;
+  typedef  ::pimentospar::wire::Agent::LoadEndedResults LoadEndedResults;
+  typedef ::capnp::CallContext<LoadEndedParams, LoadEndedResults> LoadEndedContext;
+  virtual ::kj::Promise<void> loadEnded(LoadEndedContext context);
+  typedef  ::pimentospar::wire::Agent::KeepCopyParams KeepCopyParams;
+  typedef  ::pimentospar::wire::Agent::KeepCopyResults KeepCopyResults;
+  typedef ::capnp::CallContext<KeepCopyParams, KeepCopyResults> KeepCopyContext;
+  virtual ::kj::Promise<void> keepCopy(KeepCopyContext context);
 
   inline  ::pimentospar::wire::Agent::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -1935,9 +2071,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfigUpdate::Reader {
+class Agent::RequestLoadParams::Reader {
 public:
-  typedef ConfigUpdate Reads;
+  typedef RequestLoadParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1952,20 +2088,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFrom() const;
-
-  inline  ::uint64_t getNext() const;
-
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
-
-  inline bool hasSnapshot() const;
-  inline  ::capnp::Data::Reader getSnapshot() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
-  inline bool hasChainHead() const;
-  inline  ::capnp::Text::Reader getChainHead() const;
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
 
-  inline  ::int64_t getOldestNeededMs() const;
+  inline bool getLoadedAnywhere() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1979,9 +2108,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfigUpdate::Builder {
+class Agent::RequestLoadParams::Builder {
 public:
-  typedef ConfigUpdate Builds;
+  typedef RequestLoadParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1995,35 +2124,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFrom();
-  inline void setFrom( ::uint64_t value);
-
-  inline  ::uint64_t getNext();
-  inline void setNext( ::uint64_t value);
-
-  inline bool hasRecords();
-  inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>> disownRecords();
-
-  inline bool hasSnapshot();
-  inline  ::capnp::Data::Builder getSnapshot();
-  inline void setSnapshot( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initSnapshot(unsigned int size);
-  inline void adoptSnapshot(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownSnapshot();
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline bool hasChainHead();
-  inline  ::capnp::Text::Builder getChainHead();
-  inline void setChainHead( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initChainHead(unsigned int size);
-  inline void adoptChainHead(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownChainHead();
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
 
-  inline  ::int64_t getOldestNeededMs();
-  inline void setOldestNeededMs( ::int64_t value);
+  inline bool getLoadedAnywhere();
+  inline void setLoadedAnywhere(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2035,9 +2151,9 @@
 };
 
 #if !CAPNP_LITE
-class ConfigUpdate::Pipeline {
+class Agent::RequestLoadParams::Pipeline {
 public:
-  typedef ConfigUpdate Pipelines;
+  typedef RequestLoadParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2051,9 +2167,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfigRecord::Reader {
+class Agent::RequestLoadResults::Reader {
 public:
-  typedef ConfigRecord Reads;
+  typedef RequestLoadResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2068,12 +2184,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getOffset() const;
-
-  inline  ::int64_t getTimeMs() const;
+  inline bool getGranted() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline bool hasGrant() const;
+  inline  ::pimentospar::wire::LoadGrant::Reader getGrant() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2087,9 +2201,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfigRecord::Builder {
+class Agent::RequestLoadResults::Builder {
 public:
-  typedef ConfigRecord Builds;
+  typedef RequestLoadResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2103,18 +2217,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getOffset();
-  inline void setOffset( ::uint64_t value);
-
-  inline  ::int64_t getTimeMs();
-  inline void setTimeMs( ::int64_t value);
+  inline bool getGranted();
+  inline void setGranted(bool value);
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline bool hasGrant();
+  inline  ::pimentospar::wire::LoadGrant::Builder getGrant();
+  inline void setGrant( ::pimentospar::wire::LoadGrant::Reader value);
+  inline  ::pimentospar::wire::LoadGrant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::pimentospar::wire::LoadGrant>&& value);
+  inline ::capnp::Orphan< ::pimentospar::wire::LoadGrant> disownGrant();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2126,14 +2237,15 @@
 };
 
 #if !CAPNP_LITE
-class ConfigRecord::Pipeline {
+class Agent::RequestLoadResults::Pipeline {
 public:
-  typedef ConfigRecord Pipelines;
+  typedef RequestLoadResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::pimentospar::wire::LoadGrant::Pipeline getGrant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2142,94 +2254,697 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Agent::LoadEndedParams::Reader {
+public:
+  typedef LoadEndedParams Reads;
 
-inline  ::uint64_t Request::Reader::getAttempt() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t Request::Builder::getAttempt() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Request::Builder::setAttempt( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool Request::Reader::hasOwner() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Request::Builder::hasOwner() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Request::Reader::getOwner() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Request::Builder::getOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Request::Builder::setOwner( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Request::Builder::initOwner(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Request::Builder::adoptOwner(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool Request::Reader::hasModel() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Request::Builder::hasModel() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Request::Reader::getModel() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Request::Builder::getModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Request::Builder::setModel( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Request::Builder::initModel(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Request::Builder::adoptModel(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline bool hasGrant() const;
+  inline  ::pimentospar::wire::LoadGrant::Reader getGrant() const;
 
-inline bool Request::Reader::hasAdapter() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::LoadEndedParams::Builder {
+public:
+  typedef LoadEndedParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGrant();
+  inline  ::pimentospar::wire::LoadGrant::Builder getGrant();
+  inline void setGrant( ::pimentospar::wire::LoadGrant::Reader value);
+  inline  ::pimentospar::wire::LoadGrant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::pimentospar::wire::LoadGrant>&& value);
+  inline ::capnp::Orphan< ::pimentospar::wire::LoadGrant> disownGrant();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::LoadEndedParams::Pipeline {
+public:
+  typedef LoadEndedParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pimentospar::wire::LoadGrant::Pipeline getGrant();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::LoadEndedResults::Reader {
+public:
+  typedef LoadEndedResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::LoadEndedResults::Builder {
+public:
+  typedef LoadEndedResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::LoadEndedResults::Pipeline {
+public:
+  typedef LoadEndedResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::KeepCopyParams::Reader {
+public:
+  typedef KeepCopyParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline  ::uint32_t getKeepMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::KeepCopyParams::Builder {
+public:
+  typedef KeepCopyParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline  ::uint32_t getKeepMs();
+  inline void setKeepMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::KeepCopyParams::Pipeline {
+public:
+  typedef KeepCopyParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Agent::KeepCopyResults::Reader {
+public:
+  typedef KeepCopyResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getKept() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Agent::KeepCopyResults::Builder {
+public:
+  typedef KeepCopyResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getKept();
+  inline void setKept(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Agent::KeepCopyResults::Pipeline {
+public:
+  typedef KeepCopyResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ConfigUpdate::Reader {
+public:
+  typedef ConfigUpdate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFrom() const;
+
+  inline  ::uint64_t getNext() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline bool hasSnapshot() const;
+  inline  ::capnp::Data::Reader getSnapshot() const;
+
+  inline bool hasChainHead() const;
+  inline  ::capnp::Text::Reader getChainHead() const;
+
+  inline  ::int64_t getOldestNeededMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigUpdate::Builder {
+public:
+  typedef ConfigUpdate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+  inline  ::uint64_t getNext();
+  inline void setNext( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::ConfigRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline bool hasSnapshot();
+  inline  ::capnp::Data::Builder getSnapshot();
+  inline void setSnapshot( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initSnapshot(unsigned int size);
+  inline void adoptSnapshot(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownSnapshot();
+
+  inline bool hasChainHead();
+  inline  ::capnp::Text::Builder getChainHead();
+  inline void setChainHead( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChainHead(unsigned int size);
+  inline void adoptChainHead(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChainHead();
+
+  inline  ::int64_t getOldestNeededMs();
+  inline void setOldestNeededMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigUpdate::Pipeline {
+public:
+  typedef ConfigUpdate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ConfigRecord::Reader {
+public:
+  typedef ConfigRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset() const;
+
+  inline  ::int64_t getTimeMs() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigRecord::Builder {
+public:
+  typedef ConfigRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+  inline  ::int64_t getTimeMs();
+  inline void setTimeMs( ::int64_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigRecord::Pipeline {
+public:
+  typedef ConfigRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LoadGrant::Reader {
+public:
+  typedef LoadGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getInstance() const;
+
+  inline  ::uint64_t getNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadGrant::Builder {
+public:
+  typedef LoadGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getInstance();
+  inline void setInstance( ::uint64_t value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadGrant::Pipeline {
+public:
+  typedef LoadGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t Request::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Request::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Request::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Request::Reader::hasOwner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasOwner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setOwner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initOwner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptOwner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Request::Reader::hasAdapter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
 inline bool Request::Builder::hasAdapter() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
@@ -3466,6 +4181,242 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Agent::RequestLoadParams::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::RequestLoadParams::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Agent::RequestLoadParams::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Agent::RequestLoadParams::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::RequestLoadParams::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Agent::RequestLoadParams::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Agent::RequestLoadParams::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Agent::RequestLoadParams::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Agent::RequestLoadParams::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::RequestLoadParams::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Agent::RequestLoadParams::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Agent::RequestLoadParams::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Agent::RequestLoadParams::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Agent::RequestLoadParams::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Agent::RequestLoadParams::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Agent::RequestLoadParams::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Agent::RequestLoadParams::Reader::getLoadedAnywhere() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Agent::RequestLoadParams::Builder::getLoadedAnywhere() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Agent::RequestLoadParams::Builder::setLoadedAnywhere(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Agent::RequestLoadResults::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Agent::RequestLoadResults::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Agent::RequestLoadResults::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Agent::RequestLoadResults::Reader::hasGrant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::RequestLoadResults::Builder::hasGrant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pimentospar::wire::LoadGrant::Reader Agent::RequestLoadResults::Reader::getGrant() const {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pimentospar::wire::LoadGrant::Builder Agent::RequestLoadResults::Builder::getGrant() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pimentospar::wire::LoadGrant::Pipeline Agent::RequestLoadResults::Pipeline::getGrant() {
+  return  ::pimentospar::wire::LoadGrant::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::RequestLoadResults::Builder::setGrant( ::pimentospar::wire::LoadGrant::Reader value) {
+  ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pimentospar::wire::LoadGrant::Builder Agent::RequestLoadResults::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::RequestLoadResults::Builder::adoptGrant(
+    ::capnp::Orphan< ::pimentospar::wire::LoadGrant>&& value) {
+  ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pimentospar::wire::LoadGrant> Agent::RequestLoadResults::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Agent::LoadEndedParams::Reader::hasGrant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::LoadEndedParams::Builder::hasGrant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pimentospar::wire::LoadGrant::Reader Agent::LoadEndedParams::Reader::getGrant() const {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pimentospar::wire::LoadGrant::Builder Agent::LoadEndedParams::Builder::getGrant() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pimentospar::wire::LoadGrant::Pipeline Agent::LoadEndedParams::Pipeline::getGrant() {
+  return  ::pimentospar::wire::LoadGrant::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::LoadEndedParams::Builder::setGrant( ::pimentospar::wire::LoadGrant::Reader value) {
+  ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pimentospar::wire::LoadGrant::Builder Agent::LoadEndedParams::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::LoadEndedParams::Builder::adoptGrant(
+    ::capnp::Orphan< ::pimentospar::wire::LoadGrant>&& value) {
+  ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pimentospar::wire::LoadGrant> Agent::LoadEndedParams::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers< ::pimentospar::wire::LoadGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Agent::KeepCopyParams::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::KeepCopyParams::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Agent::KeepCopyParams::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Agent::KeepCopyParams::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::KeepCopyParams::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Agent::KeepCopyParams::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Agent::KeepCopyParams::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Agent::KeepCopyParams::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Agent::KeepCopyParams::Reader::getKeepMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Agent::KeepCopyParams::Builder::getKeepMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Agent::KeepCopyParams::Builder::setKeepMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Agent::KeepCopyResults::Reader::getKept() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Agent::KeepCopyResults::Builder::getKept() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Agent::KeepCopyResults::Builder::setKept(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ConfigUpdate::Reader::getFrom() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3672,6 +4623,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t LoadGrant::Reader::getInstance() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadGrant::Builder::getInstance() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadGrant::Builder::setInstance( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LoadGrant::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadGrant::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadGrant::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -151,6 +151,10 @@
     Setting{"interval.state_ms", Need::kOptional,
             TimeSetting{&Settings::state_interval, 500ms, 10ms, 1h},
             "Time between reads of the target's state, in milliseconds"},
+    Setting{"grant_lifetime_ms", Need::kOptional,
+            TimeSetting{&Settings::grant_lifetime, 60s, 1s, 1h},
+            "Longest time from the grant of a load to its end, the same in all "
+            "processes, in milliseconds"},
     Setting{"log.level", Need::kOptional,
             ChoiceSetting{&Settings::log_level,
                           "info",
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -46,6 +46,7 @@
   std::chrono::milliseconds hosts_interval{};
   std::chrono::milliseconds config_interval{};
   std::chrono::milliseconds state_interval{};
+  std::chrono::milliseconds grant_lifetime{};
 
   std::string log_level;
 
--- a/src/rpc/agent_client.cc
+++ b/src/rpc/agent_client.cc
@@ -266,4 +266,77 @@
   return future.get();
 }
 
+template <typename Answer, typename Send>
+Answer AgentClient::Ask(const Address& agent, TimePoint deadline, Send send) {
+  auto promise = std::make_shared<boost::fibers::promise<Answer>>();
+  auto future = promise->get_future();
+  const bool taken = this->rpc.TryRun(
+      [this, agent, promise, send,
+       connections = this->connections](kj::AsyncIoContext& context) {
+        this->rpc.Detach(
+            connections->Get(context, agent)
+                .then([send](wire::Agent::Client client) mutable {
+                  return send(client);
+                })
+                .then([promise](Answer answer) { promise->set_value(answer); })
+                .catch_([promise](kj::Exception&&) {
+                  promise->set_value(Answer{});
+                }));
+      });
+  if (!taken ||
+      future.wait_until(deadline) != boost::fibers::future_status::ready) {
+    return Answer{};
+  }
+  return future.get();
+}
+
+std::optional<LoadGrant> AgentClient::RequestLoad(const Address& owner,
+                                                  const LoadRequest& request,
+                                                  TimePoint deadline) {
+  using Answer = std::optional<LoadGrant>;
+  return this->Ask<Answer>(
+      owner, deadline,
+      [request](wire::Agent::Client& client) -> kj::Promise<Answer> {
+        auto message = client.requestLoadRequest();
+        message.setTarget(request.target.value);
+        message.setModel(request.model.value);
+        message.setLoadedAnywhere(request.loaded_anywhere);
+        return message.send().then(
+            [](capnp::Response<wire::Agent::RequestLoadResults>&& response)
+                -> Answer {
+              return response.getGranted() ? Answer(Read(response.getGrant()))
+                                           : std::nullopt;
+            });
+      });
+}
+
+void AgentClient::EndLoad(const Address& owner, const LoadGrant& grant) {
+  (void)this->rpc.TryRun([this, owner, grant, connections = this->connections](
+                             kj::AsyncIoContext& context) {
+    this->rpc.Detach(connections->Get(context, owner)
+                         .then([grant](wire::Agent::Client client) {
+                           auto message = client.loadEndedRequest();
+                           Write(message.initGrant(), grant);
+                           return message.send().ignoreResult();
+                         }));
+  });
+}
+
+bool AgentClient::KeepCopy(const Address& agent,
+                           const ModelId& model,
+                           std::chrono::milliseconds keep,
+                           TimePoint deadline) {
+  return this->Ask<bool>(
+      agent, deadline,
+      [model, keep](wire::Agent::Client& client) -> kj::Promise<bool> {
+        auto message = client.keepCopyRequest();
+        message.setModel(model.value);
+        message.setKeepMs(static_cast<std::uint32_t>(keep.count()));
+        return message.send().then(
+            [](capnp::Response<wire::Agent::KeepCopyResults>&& response) {
+              return response.getKept();
+            });
+      });
+}
+
 }  // namespace pimentospar
--- a/src/rpc/agent_client.h
+++ b/src/rpc/agent_client.h
@@ -59,10 +59,28 @@
       const Address& peer,
       std::optional<ConfigVersion> version,
       TimePoint deadline);
+  /// Asks the owner of the fallback share for a load; refused if it does not
+  /// answer in time.
+  [[nodiscard]] std::optional<LoadGrant> RequestLoad(const Address& owner,
+                                                     const LoadRequest& request,
+                                                     TimePoint deadline);
+  /// Tells the owner that a load has ended; not repeated if that is lost.
+  void EndLoad(const Address& owner, const LoadGrant& grant);
+  /// Asks an agent to keep its copy of a model; false if it does not promise
+  /// that in time.
+  [[nodiscard]] bool KeepCopy(const Address& agent,
+                              const ModelId& model,
+                              std::chrono::milliseconds keep,
+                              TimePoint deadline);
 
  private:
   class Connections;
 
+  /// Makes a call whose answer is `Answer`; the default one if it fails or has
+  /// no answer in time. `send` runs on the RPC thread.
+  template <typename Answer, typename Send>
+  Answer Ask(const Address& agent, TimePoint deadline, Send send);
+
   RpcThread& rpc;
   std::shared_ptr<Connections> connections;
 };
--- a/src/rpc/agent_server.cc
+++ b/src/rpc/agent_server.cc
@@ -185,6 +185,31 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> requestLoad(RequestLoadContext context) override {
+    const auto params = context.getParams();
+    const LoadRequest request{TargetId(params.getTarget().cStr()),
+                              ModelId(params.getModel().cStr()),
+                              params.getLoadedAnywhere()};
+    if (const auto grant = this->handler.OnRequestLoad(request)) {
+      context.getResults().setGranted(true);
+      Write(context.getResults().initGrant(), *grant);
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> loadEnded(LoadEndedContext context) override {
+    this->handler.OnLoadEnded(Read(context.getParams().getGrant()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> keepCopy(KeepCopyContext context) override {
+    const auto params = context.getParams();
+    context.getResults().setKept(this->handler.OnKeepCopy(
+        ModelId(params.getModel().cStr()),
+        std::chrono::milliseconds(params.getKeepMs())));
+    return kj::READY_NOW;
+  }
+
  private:
   RpcThread& rpc;
   AgentHandler& handler;
--- a/src/rpc/agent_server.h
+++ b/src/rpc/agent_server.h
@@ -38,6 +38,15 @@
   virtual void OnCancel(AttemptId) {}
   /// Returns what a peer with this version of the configuration needs.
   virtual PeerUpdate OnConfigSince(std::optional<ConfigVersion> version) = 0;
+  /// Returns a grant if this process owns the fallback share and may give one.
+  virtual std::optional<LoadGrant> OnRequestLoad(const LoadRequest&) {
+    return std::nullopt;
+  }
+  virtual void OnLoadEnded(const LoadGrant&) {}
+  /// Returns whether the target has a copy and keeps it for this time.
+  virtual bool OnKeepCopy(const ModelId&, std::chrono::milliseconds) {
+    return false;
+  }
 };
 
 /// Serves the RPC interface of a process at its address.
--- a/src/rpc/convert.cc
+++ b/src/rpc/convert.cc
@@ -211,4 +211,13 @@
   return to;
 }
 
+void Write(wire::LoadGrant::Builder to, const LoadGrant& from) {
+  to.setInstance(from.instance.value);
+  to.setNumber(from.number);
+}
+
+LoadGrant Read(wire::LoadGrant::Reader from) {
+  return {InstanceId{from.getInstance()}, from.getNumber()};
+}
+
 }  // namespace pimentospar
--- a/src/rpc/convert.h
+++ b/src/rpc/convert.h
@@ -12,12 +12,14 @@
 void Write(wire::Outcome::Builder to, const Outcome& from);
 void Write(wire::Chunk::Builder to, const ChunkMessage& from);
 void Write(wire::ConfigUpdate::Builder to, const PeerUpdate& from);
+void Write(wire::LoadGrant::Builder to, const LoadGrant& from);
 
 [[nodiscard]] ServeRequest Read(wire::Request::Reader from);
 [[nodiscard]] Invocation Read(wire::Invocation::Reader from);
 [[nodiscard]] Outcome Read(wire::Outcome::Reader from);
 [[nodiscard]] ChunkMessage Read(wire::Chunk::Reader from);
 [[nodiscard]] PeerUpdate Read(wire::ConfigUpdate::Reader from);
+[[nodiscard]] LoadGrant Read(wire::LoadGrant::Reader from);
 
 }  // namespace pimentospar
 
--- a/src/rpc/messages.h
+++ b/src/rpc/messages.h
@@ -80,6 +80,19 @@
   std::string finish_reason;
 };
 
+/// An agent's request for a load at the cost of the fallback share.
+struct LoadRequest {
+  TargetId target;
+  ModelId model;
+  bool loaded_anywhere = false;
+};
+
+/// A grant of the fallback share, as the instance that gave it numbers it.
+struct LoadGrant {
+  InstanceId instance;
+  std::uint64_t number = 0;
+};
+
 }  // namespace pimentospar
 
 #endif  // SRC_RPC_MESSAGES_H_
