Load models and adapters on demand

Cause: an attempt for a model that the target lacks was refused by the engine. Change: the agent asks the owner of the fallback share for a grant, makes room by unloading the least recently used copies that another agent promises to keep, and loads. Attempts wait within their deadline. The agent publishes its loaded models to its peers.

--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -1,23 +1,111 @@
 #include "agent/agent.h"
 
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
 #include "net/log_line.h"
 
 namespace pimentospar {
 
+namespace {
+
+Address EngineAddress(const Settings& settings) {
+  return ParseAddress(settings.target_address).value_or(Address{});
+}
+
+bool IsServable(const EngineItem& item) {
+  return item.kind != "loading";
+}
+
+}  // namespace
+
 Agent::Agent(Process& process)
     : process(process),
-      engine(process.http,
-             process.clock,
-             ParseAddress(process.settings.target_address).value_or(Address{})),
-      claims(process, this->engine) {}
+      engine(process.http, process.clock, EngineAddress(process.settings)),
+      claims(process, this->engine),
+      started(process.clock.WallNow()),
+      peers(TargetId(process.settings.target), process.instance),
+      use(process.clock),
+      share(process),
+      loader(process, this->peers, this->share),
+      orders(process,
+             EngineAddress(process.settings),
+             [this] { return this->peers.IsReplaced(this->started); }),
+      on_demand(process, this->orders, this->use, this->peers, this->loader) {
+  process.SetOnHosts(
+      [this](std::span<const ListedHost> hosts) { this->peers.Update(hosts); });
+  process.SetOnMember(
+      [this](const MemberUpdate& member) { this->peers.Update(member); });
+}
 
 void Agent::Start() {
   this->claims.Start();
-  this->process.Repeat(this->process.settings.state_interval, [this] {
-    auto read = this->engine.ReadState();
-    const std::lock_guard lock(this->mutex);
-    this->state = std::move(read);
-  });
+  this->orders.Start();
+  this->process.Repeat(this->process.settings.state_interval,
+                       [this] { this->FollowTarget(); });
+}
+
+void Agent::FollowTarget() {
+  if (const ActiveConfigPtr active = this->process.config.Get()) {
+    this->share.OnConfiguration(active->configuration);
+  }
+  const std::uint64_t mark = this->use.Mark();
+  auto read = this->engine.ReadState();
+  LoadSummary load;
+  std::vector<ModelId> models;
+  if (read) {
+    load = {read->running, read->waiting, read->queued_tokens};
+    for (const EngineItem& item : read->items) {
+      if (IsServable(item) && item.item.find(':') == std::string::npos) {
+        models.emplace_back(item.item);
+      }
+    }
+  }
+  this->use.SetLoaded(models, mark);
+  this->process.SetTargetState(load, std::move(models));
+  const std::lock_guard lock(this->mutex);
+  this->state = std::move(read);
+}
+
+bool Agent::Holds(const WantedCopy& wanted) const {
+  const std::string name = wanted.adapter.IsEmpty() ? wanted.model.value
+                                                    : wanted.model.value + ":" +
+                                                          wanted.adapter.value;
+  const std::lock_guard lock(this->mutex);
+  // An engine that does not answer refuses the attempt by itself, and sooner.
+  return !this->state ||
+         std::ranges::any_of(this->state->items, [&](const EngineItem& item) {
+           return item.item == name && IsServable(item);
+         });
+}
+
+CopyResult Agent::BeginUse(const ServeRequest& request,
+                           TimePoint deadline,
+                           bool& counted) {
+  const WantedCopy wanted{request.model, request.adapter};
+  constexpr std::chrono::milliseconds kPause{10};
+  while (this->process.clock.Now() < deadline) {
+    if (!this->Holds(wanted)) {
+      CopyResult result = this->on_demand.EnsureLoaded(wanted, deadline);
+      if (result.reason != Reason::kNone) {
+        return result;
+      }
+    }
+    if (this->use.Begin(wanted.model)) {
+      counted = true;
+      return {};
+    }
+    {
+      const std::lock_guard lock(this->mutex);
+      if (!this->state) {
+        return {};
+      }
+    }
+    // The state read that shows the copy is still to come, or the copy is being
+    // unloaded.
+    boost::this_fiber::sleep_for(kPause);
+  }
+  return {Reason::kModelLoading, "the deadline has passed"};
 }
 
 std::string Agent::Missing() const {
@@ -68,23 +156,22 @@
   return this->process.config_feed.UpdateSince(version);
 }
 
-void Agent::Serve(const ServeRequest& request, AttemptReply& reply) {
-  if (this->process.IsDraining()) {
-    reply.Finish(
-        this->ToOutcome(request.attempt, {.reason = Reason::kTargetLeaving}));
-    return;
-  }
-  const auto cancelled = std::make_shared<std::atomic<bool>>(false);
-  {
-    const std::lock_guard lock(this->mutex);
-    this->cancels[request.attempt] = cancelled;
-  }
-  std::uint32_t sequence =
-      static_cast<std::uint32_t>(request.resume_tokens.size());
+EngineResult Agent::RunChat(const ServeRequest& request,
+                            const std::atomic<bool>& cancelled,
+                            AttemptReply& reply,
+                            std::uint32_t& sequence) {
   const TimePoint deadline = this->process.clock.Now() + request.remaining;
+  bool counted = false;
+  CopyResult copy = this->BeginUse(request, deadline, counted);
+  if (copy.reason != Reason::kNone) {
+    return {.reason = copy.reason,
+            .executed = Executed::kNo,
+            .detail = std::move(copy.detail),
+            .retry_after = std::chrono::seconds(1)};
+  }
   EngineResult result =
       this->engine.Chat(request, deadline, [&](EngineToken token) {
-        if (cancelled->load()) {
+        if (cancelled.load()) {
           return false;
         }
         if (!token.text.empty() &&
@@ -96,6 +183,38 @@
                reply.SendChunk({request.attempt, sequence++, "", true,
                                 token.finish_reason});
       });
+  if (counted) {
+    this->use.End(request.model);
+  }
+  return result;
+}
+
+std::optional<LoadGrant> Agent::OnRequestLoad(const LoadRequest& request) {
+  return this->share.Request(request);
+}
+
+void Agent::OnLoadEnded(const LoadGrant& grant) {
+  this->share.End(grant);
+}
+
+bool Agent::OnKeepCopy(const ModelId& model, std::chrono::milliseconds time) {
+  return this->use.Keep(model, time);
+}
+
+void Agent::Serve(const ServeRequest& request, AttemptReply& reply) {
+  if (this->process.IsDraining()) {
+    reply.Finish(
+        this->ToOutcome(request.attempt, {.reason = Reason::kTargetLeaving}));
+    return;
+  }
+  const auto cancelled = std::make_shared<std::atomic<bool>>(false);
+  {
+    const std::lock_guard lock(this->mutex);
+    this->cancels[request.attempt] = cancelled;
+  }
+  std::uint32_t sequence =
+      static_cast<std::uint32_t>(request.resume_tokens.size());
+  EngineResult result = this->RunChat(request, *cancelled, reply, sequence);
   if (result.reason == Reason::kCallerGone ||
       result.reason == Reason::kDeadlineExceeded) {
     this->engine.Cancel(request.attempt);
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -6,7 +6,12 @@
 #include <mutex>
 
 #include "agent/claims_guard.h"
+#include "agent/copy_use.h"
 #include "agent/engine.h"
+#include "agent/load_grants.h"
+#include "agent/load_on_demand.h"
+#include "agent/order_driver.h"
+#include "agent/peer_targets.h"
 #include "daemon/process.h"
 #include "rpc/agent_server.h"
 
@@ -37,9 +42,24 @@
                 std::shared_ptr<AttemptReply> reply) override;
   void OnCancel(AttemptId attempt) override;
   PeerUpdate OnConfigSince(std::optional<ConfigVersion> version) override;
+  std::optional<LoadGrant> OnRequestLoad(const LoadRequest& request) override;
+  void OnLoadEnded(const LoadGrant& grant) override;
+  bool OnKeepCopy(const ModelId& model,
+                  std::chrono::milliseconds time) override;
 
  private:
   void Serve(const ServeRequest& request, AttemptReply& reply);
+  [[nodiscard]] EngineResult RunChat(const ServeRequest& request,
+                                     const std::atomic<bool>& cancelled,
+                                     AttemptReply& reply,
+                                     std::uint32_t& sequence);
+  /// Waits until the target has what the attempt needs. Sets `counted` if the
+  /// copy is held until `use.End`.
+  [[nodiscard]] CopyResult BeginUse(const ServeRequest& request,
+                                    TimePoint deadline,
+                                    bool& counted);
+  void FollowTarget();
+  [[nodiscard]] bool Holds(const WantedCopy& wanted) const;
   void Invoke(const Invocation& invocation, AttemptReply& reply);
   [[nodiscard]] Outcome ToOutcome(AttemptId attempt, EngineResult result) const;
   [[nodiscard]] TargetLoad CurrentLoad() const;
@@ -47,6 +67,13 @@
   Process& process;
   Engine engine;
   ClaimsGuard claims;
+  const WallTime started;
+  PeerTargets peers;
+  CopyUse use;
+  ShareOwner share;
+  FallbackLoader loader;
+  OrderDriver orders;
+  LoadOnDemand on_demand;
   mutable std::mutex mutex;
   std::optional<EngineState> state;
   mutable std::uint64_t load_sequence = 0;
--- /dev/null
+++ b/src/agent/load_grants.cc
@@ -0,0 +1,121 @@
+#include "agent/load_grants.h"
+
+#include <algorithm>
+
+#include "net/log_line.h"
+
+namespace pimentospar {
+
+namespace {
+
+constexpr std::chrono::seconds kAskTimeout{2};
+// A grant whose end was never told is closed after this many lifetimes. The
+// agent drops it after one; the rest covers an order that waits at the engine.
+constexpr int kLifetimesOpen = 2;
+
+bool IsSame(const StoreLimits& a, const StoreLimits& b) {
+  return a.loads_per_second == b.loads_per_second &&
+         a.parallel_loads == b.parallel_loads;
+}
+
+}  // namespace
+
+const TargetConfig* FindShareOwner(const Configuration& configuration) {
+  const auto found = std::ranges::find(
+      configuration.targets, TargetKind::kModels, &TargetConfig::kind);
+  return found == configuration.targets.end() ? nullptr : &*found;
+}
+
+ShareOwner::ShareOwner(Process& process)
+    : process(process), started(process.clock.Now()) {
+  this->options.lifetime = process.settings.grant_lifetime;
+  this->options.transfer_time = this->options.lifetime / 2;
+  this->options.planner_timeout = this->options.lifetime / 2;
+}
+
+void ShareOwner::OnConfiguration(const Configuration& configuration) {
+  const TargetConfig* owner = FindShareOwner(configuration);
+  const bool is_owner =
+      owner != nullptr && owner->id == TargetId(this->process.settings.target);
+  const std::lock_guard lock(this->mutex);
+  if (!this->limits || !IsSame(*this->limits, configuration.store)) {
+    // A share with other limits starts like a new owner, so that grants of the
+    // old one have ended before it gives one.
+    this->limits = configuration.store;
+    this->share = std::make_unique<FallbackShare>(
+        this->process.clock, configuration.store, this->options);
+    this->open.reset();
+  }
+  this->share->OnOwner(is_owner);
+}
+
+std::optional<LoadGrant> ShareOwner::Request(const LoadRequest& request) {
+  const std::lock_guard lock(this->mutex);
+  if (this->share == nullptr) {
+    return std::nullopt;
+  }
+  const TimePoint now = this->process.clock.Now();
+  if (this->open &&
+      now >= this->open->given_at + kLifetimesOpen * this->options.lifetime) {
+    this->share->OnEnded(this->open->id);
+    this->open.reset();
+  }
+  const auto id = this->share->TryGrant(
+      {request.target, request.model, request.loaded_anywhere}, this->started);
+  if (!id) {
+    return std::nullopt;
+  }
+  this->open = Open{++this->given, *id, now};
+  LogInfo("load_granted",
+          {{"target", request.target.value}, {"model", request.model.value}});
+  return LoadGrant{this->process.instance, this->given};
+}
+
+void ShareOwner::End(const LoadGrant& grant) {
+  const std::lock_guard lock(this->mutex);
+  if (this->open && grant.instance == this->process.instance &&
+      grant.number == this->open->number) {
+    this->share->OnEnded(this->open->id);
+    this->open.reset();
+  }
+}
+
+std::optional<GrantedLoad> FallbackLoader::RequestLoad(const ModelId& model) {
+  const ActiveConfigPtr active = this->process.config.Get();
+  const TargetConfig* owner =
+      active == nullptr ? nullptr : FindShareOwner(active->configuration);
+  if (owner == nullptr) {
+    return std::nullopt;
+  }
+  const TargetId self(this->process.settings.target);
+  const TimePoint asked = this->process.clock.Now();
+  const LoadRequest request{self, model, false};
+  std::optional<LoadGrant> grant;
+  if (owner->id == self) {
+    grant = this->share.Request(request);
+  } else if (const auto address = this->peers.AgentOf(owner->id)) {
+    grant = this->process.agents.RequestLoad(*address, request,
+                                             asked + kAskTimeout);
+  }
+  if (!grant) {
+    return std::nullopt;
+  }
+  const Duration lifetime = this->process.settings.grant_lifetime;
+  return GrantedLoad{*grant, asked + lifetime / 2, asked + lifetime};
+}
+
+void FallbackLoader::EndLoad(const GrantedLoad& load) {
+  const ActiveConfigPtr active = this->process.config.Get();
+  const TargetConfig* owner =
+      active == nullptr ? nullptr : FindShareOwner(active->configuration);
+  if (owner == nullptr) {
+    return;
+  }
+  if (owner->id == TargetId(this->process.settings.target)) {
+    this->share.End(load.grant);
+  } else if (const auto address = this->peers.AgentOf(owner->id)) {
+    this->process.agents.EndLoad(*address, load.grant);
+  }
+}
+
+}  // namespace pimentospar
