Show a load on demand in the demo

Change: the configuration has a model that no engine has loaded; the demo checks its answer, the copies left, that no engine is overcommitted and the store's counters.

--- a/support/demo.sh
+++ b/support/demo.sh
@@ -15,6 +15,8 @@
 trap 'stop_all; rm -rf "$work"' EXIT
 operator_token=operator-secret
 caller_token=caller-secret
+# The owner of the fallback share gives no load for this long after its start.
+grant_lifetime_ms=4000
 
 failures=0
 say() { printf '%s\n' "$*"; }
@@ -31,7 +33,7 @@
 
 start_standin log log
 start_standin hosts hosts
-start_standin store store --load-ms 50
+start_standin store store --load-ms 50 --loads-per-second 2 --parallel-loads 3
 log=$(address_of log standin)
 hosts=$(address_of hosts standin)
 store=$(address_of store standin)
@@ -50,7 +52,9 @@
 {"id":"south","data_centres":["south-1"]}],
 "owners":[{"id":"care","token_hashes":["$(printf '%s' "$caller_token" | sha256sum | cut -d' ' -f1)"]}],
 "models":[{"id":"lichen","weight_bytes":400,"owner":"care"},
-{"id":"moss","weight_bytes":400,"owner":"care"}],
+{"id":"moss","weight_bytes":400,"owner":"care"},
+{"id":"fern","weight_bytes":500,"owner":"care"}],
+"store":{"loads_per_second":2,"parallel_loads":3},
 "services":[{"id":"booking","home_region":"north","operations":[{"id":"create"},
 {"id":"find","idempotent":true}]}],
 "targets":[
@@ -142,6 +146,22 @@
 check "a booking whose claim's answer is lost is settled by reading" grep -q '"number":' <<<"$lost"
 check "no key ran twice" [ "$(runs | grep -c ':[2-9]')" = 0 ]
 
+fern='{"model":"fern","max_tokens":20,"messages":[{"role":"user","content":"which fern?"}]}'
+started=$(call "$entry1" /v1/chat/completions "$fern" -H 'Deadline-Ms: 25000')
+check "a model that no engine had loaded is loaded on demand and answers" \
+  [ "$(tokens <<<"$started")" = "$(expected 20)" ]
+states() { for i in 1 2 3; do curl -fsS "http://$(address_of "engine$i" standin)/state"; echo; done; }
+check "one engine holds it" [ "$(states | grep -c '"item":"fern"')" = 1 ]
+check "it made room by unloading one copy" \
+  [ "$(states | grep -o '"item":"\(lichen\|moss\)"' | wc -l)" = 5 ]
+for model in lichen moss; do
+  check "$model is still loaded somewhere" grep -q "\"item\":\"$model\"" <<<"$(states)"
+done
+check "no engine overcommitted its memory" [ "$(states | grep -c '"overcommitted":false')" = 3 ]
+stats=$(curl -fsS "http://$store/stats")
+say "      store: $stats"
+check "the store carried one load, within its limit" grep -q '"loads":1,.*"most_parallel":1,' <<<"$stats"
+
 long='{"model":"moss","max_tokens":200,"stream":true,"messages":[{"role":"user","content":"a plan"}]}'
 call "$entry1" /v1/chat/completions "$long" -N >"$work/long.out" &
 caller=$!
--- a/support/lib.sh
+++ b/support/lib.sh
@@ -69,6 +69,7 @@
   {
     printf 'role = "%s"\nhost = "%s"\nregion = "%s"\ndata_centre = "%s"\ndrain_limit_ms = 20000\n' \
       "$role" "$name" "$region" "$data_centre"
+    printf 'grant_lifetime_ms = %s\n' "${grant_lifetime_ms:-60000}"
     printf '[address]\noperator = "127.0.0.1:0"\nrpc = "127.0.0.1:0"\ngossip = "127.0.0.1:0"\n'
     [ "$role" = entry ] && printf 'caller = "127.0.0.1:0"\n'
     printf '[platform]\nlog = "%s"\nhosts = "%s"\nstore = "%s"\n' "$log" "$hosts" "$store"
