Make room for adapters, and require the base model of a loaded adapter

Cause: a full adapter pool refused every further adapter for good, and an attempt for an adapter whose base model had been unloaded waited for its deadline, since only the adapter was looked for. Change: CopyUse counts adapters too; the least recently used adapters that no attempt uses are unloaded. An attempt holds both the model and the adapter.

--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -53,36 +53,63 @@
   auto read = this->engine.ReadState();
   LoadSummary load;
   std::vector<ModelId> models;
+  std::vector<ItemId> servable;
   if (read) {
     load = {read->running, read->waiting, read->queued_tokens};
     for (const EngineItem& item : read->items) {
-      if (IsServable(item) && item.item.find(':') == std::string::npos) {
+      if (!IsServable(item)) {
+        continue;
+      }
+      servable.emplace_back(item.item);
+      if (item.item.find(':') == std::string::npos) {
         models.emplace_back(item.item);
       }
     }
   }
-  this->use.SetLoaded(models, mark);
+  this->use.SetLoaded(servable, mark);
   this->process.SetTargetState(load, std::move(models));
   const std::lock_guard lock(this->mutex);
   this->state = std::move(read);
 }
 
 bool Agent::Holds(const WantedCopy& wanted) const {
-  const std::string name = wanted.adapter.IsEmpty() ? wanted.model.value
-                                                    : wanted.model.value + ":" +
-                                                          wanted.adapter.value;
   const std::lock_guard lock(this->mutex);
   // An engine that does not answer refuses the attempt by itself, and sooner.
-  return !this->state ||
-         std::ranges::any_of(this->state->items, [&](const EngineItem& item) {
-           return item.item == name && IsServable(item);
-         });
+  if (!this->state) {
+    return true;
+  }
+  const auto holds = [this](const ItemId& id) {
+    return std::ranges::any_of(this->state->items, [&](const EngineItem& item) {
+      return item.item == id.value && IsServable(item);
+    });
+  };
+  return holds(ModelItem(wanted.model)) &&
+         (wanted.adapter.IsEmpty() ||
+          holds(AdapterItem(wanted.model, wanted.adapter)));
+}
+
+bool Agent::TryUse(const WantedCopy& wanted) {
+  if (!this->use.Begin(ModelItem(wanted.model))) {
+    return false;
+  }
+  if (wanted.adapter.IsEmpty() ||
+      this->use.Begin(AdapterItem(wanted.model, wanted.adapter))) {
+    return true;
+  }
+  this->use.End(ModelItem(wanted.model));
+  return false;
+}
+
+void Agent::EndUse(const WantedCopy& wanted) {
+  this->use.End(ModelItem(wanted.model));
+  if (!wanted.adapter.IsEmpty()) {
+    this->use.End(AdapterItem(wanted.model, wanted.adapter));
+  }
 }
 
-CopyResult Agent::BeginUse(const ServeRequest& request,
+CopyResult Agent::BeginUse(const WantedCopy& wanted,
                            TimePoint deadline,
                            bool& counted) {
-  const WantedCopy wanted{request.model, request.adapter};
   constexpr std::chrono::milliseconds kPause{10};
   while (this->process.clock.Now() < deadline) {
     if (!this->Holds(wanted)) {
@@ -91,7 +118,7 @@
         return result;
       }
     }
-    if (this->use.Begin(wanted.model)) {
+    if (this->TryUse(wanted)) {
       counted = true;
       return {};
     }
@@ -161,8 +188,9 @@
                             AttemptReply& reply,
                             std::uint32_t& sequence) {
   const TimePoint deadline = this->process.clock.Now() + request.remaining;
+  const WantedCopy wanted{request.model, request.adapter};
   bool counted = false;
-  CopyResult copy = this->BeginUse(request, deadline, counted);
+  CopyResult copy = this->BeginUse(wanted, deadline, counted);
   if (copy.reason != Reason::kNone) {
     return {.reason = copy.reason,
             .executed = Executed::kNo,
@@ -184,7 +212,7 @@
                                 token.finish_reason});
       });
   if (counted) {
-    this->use.End(request.model);
+    this->EndUse(wanted);
   }
   return result;
 }
@@ -198,7 +226,7 @@
 }
 
 bool Agent::OnKeepCopy(const ModelId& model, std::chrono::milliseconds time) {
-  return this->use.Keep(model, time);
+  return this->use.Keep(ModelItem(model), time);
 }
 
 void Agent::Serve(const ServeRequest& request, AttemptReply& reply) {
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -53,11 +53,13 @@
                                      const std::atomic<bool>& cancelled,
                                      AttemptReply& reply,
                                      std::uint32_t& sequence);
-  /// Waits until the target has what the attempt needs. Sets `counted` if the
-  /// copy is held until `use.End`.
-  [[nodiscard]] CopyResult BeginUse(const ServeRequest& request,
+  /// Waits until the target has what the attempt needs. Sets `counted` if that
+  /// is held until `EndUse`.
+  [[nodiscard]] CopyResult BeginUse(const WantedCopy& wanted,
                                     TimePoint deadline,
                                     bool& counted);
+  [[nodiscard]] bool TryUse(const WantedCopy& wanted);
+  void EndUse(const WantedCopy& wanted);
   void FollowTarget();
   [[nodiscard]] bool Holds(const WantedCopy& wanted) const;
   void Invoke(const Invocation& invocation, AttemptReply& reply);
--- a/src/agent/copy_use.cc
+++ b/src/agent/copy_use.cc
@@ -9,17 +9,22 @@
   return this->unloads;
 }
 
-void CopyUse::SetLoaded(const std::vector<ModelId>& models,
-                        std::uint64_t mark) {
+void CopyUse::SetLoaded(const std::vector<ItemId>& items, std::uint64_t mark) {
   const std::lock_guard lock(this->mutex);
   if (mark != this->unloads) {
     return;
   }
-  for (auto& [model, copy] : this->copies) {
+  for (auto& [item, copy] : this->copies) {
     copy.loaded = false;
   }
-  for (const ModelId& model : models) {
-    this->copies[model].loaded = true;
+  for (const ItemId& item : items) {
+    // A new copy counts as used, so that it is not the first to go before the
+    // attempt that it was loaded for has begun.
+    const auto [copy, is_new] = this->copies.try_emplace(item);
+    copy->second.loaded = true;
+    if (is_new) {
+      copy->second.last_used = this->clock.Now();
+    }
   }
   std::erase_if(this->copies, [](const auto& entry) {
     const Copy& copy = entry.second;
@@ -27,9 +32,9 @@
   });
 }
 
-bool CopyUse::Begin(const ModelId& model) {
+bool CopyUse::Begin(const ItemId& item) {
   const std::lock_guard lock(this->mutex);
-  const auto found = this->copies.find(model);
+  const auto found = this->copies.find(item);
   if (found == this->copies.end() || !found->second.loaded ||
       found->second.unloading) {
     return false;
@@ -39,17 +44,17 @@
   return true;
 }
 
-void CopyUse::End(const ModelId& model) {
+void CopyUse::End(const ItemId& item) {
   const std::lock_guard lock(this->mutex);
-  const auto found = this->copies.find(model);
+  const auto found = this->copies.find(item);
   if (found != this->copies.end() && found->second.in_flight > 0) {
     --found->second.in_flight;
   }
 }
 
-bool CopyUse::Keep(const ModelId& model, Duration time) {
+bool CopyUse::Keep(const ItemId& item, Duration time) {
   const std::lock_guard lock(this->mutex);
-  const auto found = this->copies.find(model);
+  const auto found = this->copies.find(item);
   if (found == this->copies.end() || !found->second.loaded ||
       found->second.unloading) {
     return false;
@@ -64,23 +69,23 @@
          copy.kept_until <= this->clock.Now();
 }
 
-std::vector<ModelId> CopyUse::Unneeded() const {
+std::vector<ItemId> CopyUse::Unneeded() const {
   const std::lock_guard lock(this->mutex);
-  std::vector<ModelId> models;
-  for (const auto& [model, copy] : this->copies) {
+  std::vector<ItemId> items;
+  for (const auto& [item, copy] : this->copies) {
     if (this->IsUnneeded(copy)) {
-      models.push_back(model);
+      items.push_back(item);
     }
   }
-  std::ranges::stable_sort(models, {}, [this](const ModelId& model) {
-    return this->copies.at(model).last_used;
+  std::ranges::stable_sort(items, {}, [this](const ItemId& item) {
+    return this->copies.at(item).last_used;
   });
-  return models;
+  return items;
 }
 
-bool CopyUse::BeginUnload(const ModelId& model) {
+bool CopyUse::BeginUnload(const ItemId& item) {
   const std::lock_guard lock(this->mutex);
-  const auto found = this->copies.find(model);
+  const auto found = this->copies.find(item);
   if (found == this->copies.end() || !this->IsUnneeded(found->second)) {
     return false;
   }
@@ -88,10 +93,10 @@
   return true;
 }
 
-void CopyUse::EndUnload(const ModelId& model, bool unloaded) {
+void CopyUse::EndUnload(const ItemId& item, bool unloaded) {
   const std::lock_guard lock(this->mutex);
   ++this->unloads;
-  const auto found = this->copies.find(model);
+  const auto found = this->copies.find(item);
   if (found != this->copies.end()) {
     found->second.unloading = false;
     found->second.loaded = found->second.loaded && !unloaded;
--- a/src/agent/copy_use.h
+++ b/src/agent/copy_use.h
@@ -6,12 +6,12 @@
 #include <vector>
 
 #include "pimentospar/clock.h"
-#include "pimentospar/types.h"
+#include "pimentospar/memory_account.h"
 
 namespace pimentospar {
 
-/// What each copy at a target is needed for: attempts in progress and promises
-/// to other agents. May be used from any thread.
+/// What each model or adapter at a target is needed for: attempts in progress
+/// and promises to other agents. May be used from any thread.
 ///
 /// An agent unloads a copy only while another agent promises to keep its own,
 /// and gives no such promise for a copy that it is unloading. Two agents that
@@ -22,22 +22,22 @@
 
   /// Returns a mark to take before a read of the engine's state.
   [[nodiscard]] std::uint64_t Mark() const;
-  /// Sets the models that the engine can serve. A read during which an unload
+  /// Sets the items that the engine can serve. A read during which an unload
   /// ended is ignored, since it may still show the copy.
-  void SetLoaded(const std::vector<ModelId>& models, std::uint64_t mark);
+  void SetLoaded(const std::vector<ItemId>& items, std::uint64_t mark);
   /// Starts an attempt; false if the copy is absent or about to be unloaded.
-  [[nodiscard]] bool Begin(const ModelId& model);
-  void End(const ModelId& model);
+  [[nodiscard]] bool Begin(const ItemId& item);
+  void End(const ItemId& item);
 
   /// Promises to keep a copy for a time; false if there is none to keep.
-  [[nodiscard]] bool Keep(const ModelId& model, Duration time);
+  [[nodiscard]] bool Keep(const ItemId& item, Duration time);
 
   /// Returns the copies that nothing needs here, least recently used first.
-  [[nodiscard]] std::vector<ModelId> Unneeded() const;
+  [[nodiscard]] std::vector<ItemId> Unneeded() const;
   /// Reserves a copy for unloading; false if something needs it by now.
-  [[nodiscard]] bool BeginUnload(const ModelId& model);
+  [[nodiscard]] bool BeginUnload(const ItemId& item);
   /// Ends the reservation; `unloaded` says that the copy is gone.
-  void EndUnload(const ModelId& model, bool unloaded);
+  void EndUnload(const ItemId& item, bool unloaded);
 
  private:
   struct Copy {
@@ -52,7 +52,7 @@
 
   const Clock& clock;
   mutable std::mutex mutex;
-  std::map<ModelId, Copy> copies;
+  std::map<ItemId, Copy> copies;
   std::uint64_t unloads = 0;
 };
 
--- a/src/agent/load_on_demand.cc
+++ b/src/agent/load_on_demand.cc
@@ -12,6 +12,7 @@
 // Pause before the next try, plus a random time of the same length.
 constexpr std::chrono::milliseconds kRetryPause{100};
 constexpr std::chrono::seconds kKeepTimeout{2};
+constexpr std::chrono::seconds kUnloadTimeout{2};
 // How long another agent keeps its copy while this one unloads: longer than an
 // order may take.
 constexpr std::chrono::seconds kKeepTime{120};
@@ -19,11 +20,7 @@
 constexpr std::chrono::seconds kAdapterTimeout{10};
 
 Item WeightsOf(const ModelId& model) {
-  return {ItemKind::kWeights, ItemId(model.value)};
-}
-
-Item ItemOf(const ModelId& model, const AdapterId& adapter) {
-  return {ItemKind::kAdapter, ItemId(model.value + ":" + adapter.value)};
+  return {ItemKind::kWeights, ModelItem(model)};
 }
 
 CopyResult Refused(Reason reason, std::string detail) {
@@ -38,6 +35,14 @@
 
 }  // namespace
 
+ItemId ModelItem(const ModelId& model) {
+  return ItemId(model.value);
+}
+
+ItemId AdapterItem(const ModelId& model, const AdapterId& adapter) {
+  return ItemId(model.value + ":" + adapter.value);
+}
+
 CopyResult LoadOnDemand::EnsureLoaded(const WantedCopy& wanted,
                                       TimePoint deadline) {
   const Waiter waiter = std::make_shared<boost::fibers::promise<CopyResult>>();
@@ -152,62 +157,91 @@
   if (found == nullptr) {
     return Refused(Reason::kTargetRefused, "the adapter is not configured");
   }
-  const Item item = ItemOf(model.id, adapter);
+  const Item item{ItemKind::kAdapter, AdapterItem(model.id, adapter)};
   if (this->IsLoaded(item)) {
     return CopyResult{};
   }
   const TimePoint until =
       std::min(deadline, this->process.clock.Now() + kAdapterTimeout);
-  const auto result = this->driver.Load(item, found->bytes, until);
-  if (result == ItemResult::kLoaded) {
-    return CopyResult{};
-  }
-  if (result == ItemResult::kNoMemory) {
+  if (!this->MakeAdapterRoom(item, found->bytes, until)) {
     return Refused(Reason::kTargetRefused, "no memory for the adapter");
   }
-  return std::nullopt;
+  return this->driver.Load(item, found->bytes, until) == ItemResult::kLoaded
+             ? Step(CopyResult{})
+             : std::nullopt;
+}
+
+bool LoadOnDemand::MakeAdapterRoom(const Item& item,
+                                   Bytes bytes,
+                                   TimePoint until) {
+  std::vector<Item> removable;
+  Bytes freed = 0;
+  const MemoryAccount* account = this->driver.Account();
+  for (const ItemId& id : this->use.Unneeded()) {
+    const Item other{ItemKind::kAdapter, id};
+    const Charge* charge = account == nullptr ? nullptr : account->Find(other);
+    if (charge != nullptr && charge->state == ChargeState::kLoaded &&
+        !charge->pinned) {
+      removable.push_back(other);
+      freed += charge->bytes;
+    }
+  }
+  if (!this->Fits(item, bytes, freed)) {
+    return false;
+  }
+  for (const Item& other : removable) {
+    if (this->Fits(item, bytes) || this->process.clock.Now() >= until) {
+      break;
+    }
+    if (this->use.BeginUnload(other.id)) {
+      (void)this->UnloadReserved(other);
+    }
+  }
+  return this->Fits(item, bytes);
+}
+
+bool LoadOnDemand::Fits(const Item& item, Bytes bytes, Bytes freed) const {
+  const MemoryAccount* account = this->driver.Account();
+  return account != nullptr && account->Fits(item, bytes, freed);
 }
 
 std::vector<ModelId> LoadOnDemand::Removable() const {
-  std::vector<ModelId> models = this->use.Unneeded();
-  std::erase_if(models, [this](const ModelId& model) {
-    const MemoryAccount* account = this->driver.Account();
+  std::vector<ModelId> models;
+  const MemoryAccount* account = this->driver.Account();
+  for (const ItemId& id : this->use.Unneeded()) {
+    const ModelId model(id.value);
     const Charge* charge =
         account == nullptr ? nullptr : account->Find(WeightsOf(model));
-    return charge == nullptr || charge->pinned ||
-           charge->state != ChargeState::kLoaded ||
-           this->peers.Holders(model).empty();
-  });
+    if (charge != nullptr && !charge->pinned &&
+        charge->state == ChargeState::kLoaded &&
+        !this->peers.Holders(model).empty()) {
+      models.push_back(model);
+    }
+  }
   return models;
 }
 
 bool LoadOnDemand::CanMakeRoom(const Item& item, Bytes bytes) const {
-  const MemoryAccount* account = this->driver.Account();
-  if (account == nullptr) {
-    return false;
-  }
   Bytes freed = 0;
   for (const ModelId& model : this->Removable()) {
-    freed += account->Find(WeightsOf(model))->bytes;
+    freed += this->driver.Account()->Find(WeightsOf(model))->bytes;
   }
-  return account->Fits(item, bytes, freed);
+  return this->Fits(item, bytes, freed);
 }
 
 bool LoadOnDemand::MakeRoom(const Item& item, Bytes bytes, TimePoint until) {
-  const auto fits = [&] {
-    const MemoryAccount* account = this->driver.Account();
-    return account != nullptr && account->Fits(item, bytes);
-  };
   for (const ModelId& model : this->Removable()) {
-    if (fits() || !this->UnloadCopy(model, until)) {
+    if (this->Fits(item, bytes)) {
       break;
     }
+    // A copy that is needed after all is passed over for the next one.
+    (void)this->UnloadCopy(model, until);
   }
-  return fits();
+  return this->Fits(item, bytes);
 }
 
 bool LoadOnDemand::UnloadCopy(const ModelId& model, TimePoint until) {
-  if (!this->use.BeginUnload(model)) {
+  if (!this->use.BeginUnload(ModelItem(model))) {
     return false;
   }
   bool kept = false;
@@ -219,24 +253,26 @@
     }
   }
   if (!kept || this->process.clock.Now() >= until) {
-    this->use.EndUnload(model, false);
+    this->use.EndUnload(ModelItem(model), false);
     return false;
   }
-  // An order without an answer is repeated, so the copy stays reserved until
+  return this->UnloadReserved(WeightsOf(model));
+}
+
+bool LoadOnDemand::UnloadReserved(const Item& item) {
+  // An order without an answer is repeated, so the item stays reserved until
   // the end is known.
   std::optional<ItemResult> result;
   while (!result && !this->process.IsDraining()) {
-    result = this->driver.Unload(WeightsOf(model),
-                                 this->process.clock.Now() + kKeepTimeout);
+    result =
+        this->driver.Unload(item, this->process.clock.Now() + kUnloadTimeout);
     if (!result && this->driver.Account() == nullptr) {
       boost::this_fiber::sleep_for(kRetryPause);
     }
   }
   const bool unloaded =
       result == ItemResult::kUnloaded || result == ItemResult::kGone;
-  LogInfo("copy_unloaded",
-          {{"model", model.value}, {"unloaded", unloaded ? 1 : 0}});
-  this->use.EndUnload(model, unloaded);
+  this->use.EndUnload(item.id, unloaded);
   return unloaded;
 }
 
--- a/src/agent/load_on_demand.h
+++ b/src/agent/load_on_demand.h
@@ -24,6 +24,11 @@
   auto operator<=>(const WantedCopy&) const = default;
 };
 
+[[nodiscard]] ItemId ModelItem(const ModelId& model);
+/// Returns the name of an adapter at an engine: `model:adapter`.
+[[nodiscard]] ItemId AdapterItem(const ModelId& model,
+                                 const AdapterId& adapter);
+
 /// How a wait for a copy ended; `Reason::kNone` if it is loaded.
 struct CopyResult {
   Reason reason = Reason::kNone;
@@ -70,12 +75,19 @@
   [[nodiscard]] Step TryAdapter(const ModelConfig& model,
                                 const AdapterId& adapter,
                                 TimePoint deadline);
+  /// Unloads the least recently used adapters until this one fits.
+  [[nodiscard]] bool MakeAdapterRoom(const Item& item,
+                                     Bytes bytes,
+                                     TimePoint until);
   [[nodiscard]] std::vector<ModelId> Removable() const;
   [[nodiscard]] bool CanMakeRoom(const Item& item, Bytes bytes) const;
   /// Unloads the least recently used copies that another target keeps.
   [[nodiscard]] bool MakeRoom(const Item& item, Bytes bytes, TimePoint until);
   [[nodiscard]] bool UnloadCopy(const ModelId& model, TimePoint until);
+  /// Unloads an item that `use` has reserved.
+  [[nodiscard]] bool UnloadReserved(const Item& item);
   [[nodiscard]] bool IsLoaded(const Item& item) const;
+  [[nodiscard]] bool Fits(const Item& item, Bytes bytes, Bytes freed = 0) const;
 
   Process& process;
   OrderDriver& driver;
--- a/src/agent/order_driver.cc
+++ b/src/agent/order_driver.cc
@@ -134,13 +134,13 @@
   this->Carry(this->manager->Start());
 }
 
-void OrderDriver::Carry(OrderActions actions) {
+void OrderDriver::Carry(const OrderActions& actions) {
   for (const OrderAction& action : actions) {
     std::visit([this](const auto& chosen) { this->Do(chosen); }, action);
   }
 }
 
-void OrderDriver::Spawn(std::function<void()> step) {
+void OrderDriver::Spawn(const std::function<void()>& step) {
   if (!this->process.control.TryRun(step)) {
     // The manager waits for the answer to this action, so it is carried out
     // here after all.
@@ -338,11 +338,11 @@
 }
 
 std::optional<ItemResult> OrderDriver::Wait(const Item& item,
-                                            OrderActions actions,
+                                            const OrderActions& actions,
                                             const Waiter& waiter,
                                             TimePoint deadline) {
   auto result = waiter->get_future();
-  this->Carry(std::move(actions));
+  this->Carry(actions);
   if (result.wait_until(deadline) == boost::fibers::future_status::ready) {
     return result.get();
   }
--- a/src/agent/order_driver.h
+++ b/src/agent/order_driver.h
@@ -51,7 +51,7 @@
   void Tick();
   void StartManager(const TargetConfig& found,
                     const Configuration& configuration);
-  void Carry(OrderActions actions);
+  void Carry(const OrderActions& actions);
   void Do(const AppendRecord& action);
   void Do(const ReadTargetStream& action);
   void Do(const SendOrder& action);
@@ -67,12 +67,12 @@
                   std::uint64_t run);
   [[nodiscard]] std::shared_ptr<HttpConnection> TakeConnection();
   [[nodiscard]] std::optional<ItemResult> Wait(const Item& item,
-                                               OrderActions actions,
+                                               const OrderActions& actions,
                                                const Waiter& waiter,
                                                TimePoint deadline);
   void CountOutcome(const Order& order, OrderOutcome outcome);
   /// Runs a step that waits for the network in a fiber of its own.
-  void Spawn(std::function<void()> step);
+  void Spawn(const std::function<void()>& step);
 
   Process& process;
   Address engine;
--- a/test/adapter/copy_use_test.cc
+++ b/test/adapter/copy_use_test.cc
@@ -6,8 +6,8 @@
 namespace pimentospar {
 namespace {
 
-const ModelId kMoss("moss");
-const ModelId kLichen("lichen");
+const ItemId kMoss("moss");
+const ItemId kLichen("lichen");
 
 // Guards against two agents that each unload one of the last two copies.
 BOOST_AUTO_TEST_CASE(OnlyOneOfTwoHoldersUnloads) {
@@ -36,6 +36,7 @@
   ManualClock clock;
   CopyUse use(clock);
   use.SetLoaded({kLichen, kMoss}, use.Mark());
+  clock.Advance(std::chrono::seconds(1));
   BOOST_TEST(use.Begin(kLichen));
   BOOST_TEST(!use.BeginUnload(kLichen));
   BOOST_TEST((use.Unneeded() == std::vector{kMoss}));
