--- a/schema/agent.capnp
+++ b/schema/agent.capnp
@@ -86,6 +86,13 @@
   cancel @2 (attempt :UInt64) -> ();
   configSince @3 (version :UInt64, hasVersion :Bool) -> (update :ConfigUpdate);
   load @4 () -> (load :Load);
+  # Asks the owner of the fallback share for one load.
+  requestLoad @5 (target :Text, model :Text, loadedAnywhere :Bool)
+      -> (granted :Bool, grant :LoadGrant);
+  # Tells the owner that the load has ended or will not be made.
+  loadEnded @6 (grant :LoadGrant) -> ();
+  # Asks an agent not to unload its copy for a time; refused if it has none.
+  keepCopy @7 (model :Text, keepMs :UInt32) -> (kept :Bool);
 }
 
 struct ConfigUpdate {
@@ -103,3 +110,9 @@
   timeMs @1 :Int64;
   body @2 :Data;
 }
+
+struct LoadGrant {
+  # A grant of the fallback share, as the instance that gave it numbers it.
+  instance @0 :UInt64;
+  number @1 :UInt64;
+}
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -1,6 +1,7 @@
 #include "agent/agent.h"
 
 #include <algorithm>
+#include <boost/fiber/operations.hpp>
 #include <thread>
 
 #include "net/log_line.h"
@@ -15,25 +16,75 @@
 // Bounds the time that an agent waits for entries that go on calling.
 constexpr std::chrono::milliseconds kLongestQuietWait{3'000};
 
+Address EngineAddress(const Settings& settings) {
+  return ParseAddress(settings.target_address).value_or(Address{});
+}
+
+bool IsServable(const EngineItem& item) {
+  return item.kind != "loading";
+}
+
 }  // namespace
 
 Agent::Agent(Process& process)
     : process(process),
-      engine(process.http,
-             process.clock,
-             ParseAddress(process.settings.target_address).value_or(Address{})),
+      engine(process.http, process.clock, EngineAddress(process.settings)),
       claims(process, this->engine),
+      started(process.clock.WallNow()),
+      peers(TargetId(process.settings.target), process.instance),
+      use(process.clock),
+      share(process),
+      loader(process, this->peers, this->share),
+      orders(process,
+             EngineAddress(process.settings),
+             [this] { return this->peers.IsReplaced(this->started); }),
+      on_demand(process, this->orders, this->use, this->peers, this->loader),
       gate(process),
-      crashes(process.clock, TargetId(process.settings.target)) {}
+      crashes(process.clock, TargetId(process.settings.target)) {
+  process.SetOnHosts(
+      [this](std::span<const ListedHost> hosts) { this->peers.Update(hosts); });
+  process.SetOnMember(
+      [this](const MemberUpdate& member) { this->peers.Update(member); });
+}
 
 void Agent::Start() {
   this->claims.Start();
+  this->orders.Start();
   this->process.Repeat(this->process.settings.state_interval,
-                       [this] { this->ReadState(); });
+                       [this] { this->FollowTarget(); });
 }
 
-void Agent::ReadState() {
+void Agent::FollowTarget() {
+  if (const ActiveConfigPtr active = this->process.config.Get()) {
+    this->share.OnConfiguration(active->configuration);
+  }
+  const std::uint64_t mark = this->use.Mark();
   auto read = this->engine.ReadState();
+  LoadSummary load;
+  std::vector<ModelId> models;
+  std::vector<ItemId> servable;
+  if (read) {
+    load = {read->running, read->waiting, read->queued_tokens};
+    for (const EngineItem& item : read->items) {
+      if (!IsServable(item)) {
+        continue;
+      }
+      servable.emplace_back(item.item);
+      if (item.item.find(':') == std::string::npos) {
+        models.emplace_back(item.item);
+      }
+    }
+  }
+  this->use.SetLoaded(servable, mark);
+  this->process.SetTargetState(load, std::move(models));
+  this->ApplyState(std::move(read));
+}
+
+void Agent::ReadState() {
+  this->ApplyState(this->engine.ReadState());
+}
+
+void Agent::ApplyState(std::optional<EngineState> read) {
   if (read) {
     Bytes used = 0;
     for (const EngineItem& item : read->items) {
@@ -58,6 +109,69 @@
   return this->state ? std::optional(this->state->incarnation) : std::nullopt;
 }
 
+bool Agent::Holds(const WantedCopy& wanted) const {
+  const std::lock_guard lock(this->mutex);
+  // An engine that does not answer refuses the attempt by itself, and sooner.
+  if (!this->state) {
+    return true;
+  }
+  const auto holds = [this](const ItemId& id) {
+    return std::ranges::any_of(this->state->items, [&](const EngineItem& item) {
+      return item.item == id.value && IsServable(item);
+    });
+  };
+  return holds(ModelItem(wanted.model)) &&
+         (wanted.adapter.IsEmpty() ||
+          holds(AdapterItem(wanted.model, wanted.adapter)));
+}
+
+bool Agent::TryUse(const WantedCopy& wanted) {
+  if (!this->use.Begin(ModelItem(wanted.model))) {
+    return false;
+  }
+  if (wanted.adapter.IsEmpty() ||
+      this->use.Begin(AdapterItem(wanted.model, wanted.adapter))) {
+    return true;
+  }
+  this->use.End(ModelItem(wanted.model));
+  return false;
+}
+
+void Agent::EndUse(const WantedCopy& wanted) {
+  this->use.End(ModelItem(wanted.model));
+  if (!wanted.adapter.IsEmpty()) {
+    this->use.End(AdapterItem(wanted.model, wanted.adapter));
+  }
+}
+
+CopyResult Agent::BeginUse(const WantedCopy& wanted,
+                           TimePoint deadline,
+                           bool& counted) {
+  constexpr std::chrono::milliseconds kPause{10};
+  while (this->process.clock.Now() < deadline) {
+    if (!this->Holds(wanted)) {
+      CopyResult result = this->on_demand.EnsureLoaded(wanted, deadline);
+      if (result.reason != Reason::kNone) {
+        return result;
+      }
+    }
+    if (this->TryUse(wanted)) {
+      counted = true;
+      return {};
+    }
+    {
+      const std::lock_guard lock(this->mutex);
+      if (!this->state) {
+        return {};
+      }
+    }
+    // The state read that shows the copy is still to come, or the copy is being
+    // unloaded.
+    boost::this_fiber::sleep_for(kPause);
+  }
+  return {Reason::kModelLoading, "the deadline has passed"};
+}
+
 std::string Agent::Missing() const {
   if (this->process.config.Get() == nullptr) {
     return "configuration";
@@ -173,22 +287,24 @@
   return outcome;
 }
 
-void Agent::Serve(const ServeRequest& request, AttemptReply& reply) {
-  if (this->process.IsDraining()) {
-    reply.Finish(
-        this->ToOutcome(request.attempt, {.reason = Reason::kTargetLeaving}));
-    return;
-  }
-  const auto cancelled = std::make_shared<std::atomic<bool>>(false);
-  {
-    const std::lock_guard lock(this->mutex);
-    this->cancels[request.attempt] = cancelled;
+Outcome Agent::RunChat(const ServeRequest& request,
+                       const std::atomic<bool>& cancelled,
+                       AttemptReply& reply,
+                       std::uint32_t& sequence) {
+  const TimePoint deadline = this->process.clock.Now() + request.remaining;
+  const WantedCopy wanted{request.model, request.adapter};
+  bool counted = false;
+  CopyResult copy = this->BeginUse(wanted, deadline, counted);
+  if (copy.reason != Reason::kNone) {
+    return this->ToOutcome(request.attempt,
+                           {.reason = copy.reason,
+                            .executed = Executed::kNo,
+                            .detail = std::move(copy.detail),
+                            .retry_after = std::chrono::seconds(1)});
   }
-  auto sequence = static_cast<std::uint32_t>(request.resume_tokens.size());
   const std::uint32_t first = sequence;
-  const TimePoint deadline = this->process.clock.Now() + request.remaining;
   const Engine::OnToken on_token = [&](EngineToken token) {
-    if (cancelled->load()) {
+    if (cancelled.load()) {
       return false;
     }
     if (!token.text.empty() &&
@@ -217,6 +333,37 @@
       this->engine.Cancel(request.attempt);
     }
   }
+  if (counted) {
+    this->EndUse(wanted);
+  }
+  return outcome;
+}
+
+std::optional<LoadGrant> Agent::OnRequestLoad(const LoadRequest& request) {
+  return this->share.Request(request);
+}
+
+void Agent::OnLoadEnded(const LoadGrant& grant) {
+  this->share.End(grant);
+}
+
+bool Agent::OnKeepCopy(const ModelId& model, std::chrono::milliseconds time) {
+  return this->use.Keep(ModelItem(model), time);
+}
+
+void Agent::Serve(const ServeRequest& request, AttemptReply& reply) {
+  if (this->process.IsDraining()) {
+    reply.Finish(
+        this->ToOutcome(request.attempt, {.reason = Reason::kTargetLeaving}));
+    return;
+  }
+  const auto cancelled = std::make_shared<std::atomic<bool>>(false);
+  {
+    const std::lock_guard lock(this->mutex);
+    this->cancels[request.attempt] = cancelled;
+  }
+  auto sequence = static_cast<std::uint32_t>(request.resume_tokens.size());
+  Outcome outcome = this->RunChat(request, *cancelled, reply, sequence);
   {
     const std::lock_guard lock(this->mutex);
     this->cancels.erase(request.attempt);
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -8,8 +8,13 @@
 
 #include "agent/admission_gate.h"
 #include "agent/claims_guard.h"
+#include "agent/copy_use.h"
 #include "agent/crash_watch.h"
 #include "agent/engine.h"
+#include "agent/load_grants.h"
+#include "agent/load_on_demand.h"
+#include "agent/order_driver.h"
+#include "agent/peer_targets.h"
 #include "daemon/process.h"
 #include "rpc/agent_server.h"
 
@@ -43,6 +48,10 @@
   void OnCancel(AttemptId attempt) override;
   PeerUpdate OnConfigSince(std::optional<ConfigVersion> version) override;
   TargetLoad OnLoad() override { return this->CurrentLoad(); }
+  std::optional<LoadGrant> OnRequestLoad(const LoadRequest& request) override;
+  void OnLoadEnded(const LoadGrant& grant) override;
+  bool OnKeepCopy(const ModelId& model,
+                  std::chrono::milliseconds time) override;
 
  private:
   /// What an attempt needs to be guarded, whatever it runs.
@@ -54,6 +63,19 @@
   using Run = std::function<EngineResult()>;
 
   void Serve(const ServeRequest& request, AttemptReply& reply);
+  [[nodiscard]] Outcome RunChat(const ServeRequest& request,
+                                const std::atomic<bool>& cancelled,
+                                AttemptReply& reply,
+                                std::uint32_t& sequence);
+  /// Waits until the target has what the attempt needs. Sets `counted` if that
+  /// is held until `EndUse`.
+  [[nodiscard]] CopyResult BeginUse(const WantedCopy& wanted,
+                                    TimePoint deadline,
+                                    bool& counted);
+  [[nodiscard]] bool TryUse(const WantedCopy& wanted);
+  void EndUse(const WantedCopy& wanted);
+  void FollowTarget();
+  [[nodiscard]] bool Holds(const WantedCopy& wanted) const;
   void Invoke(const Invocation& invocation, AttemptReply& reply);
   /// Runs an attempt on the target unless requests with strikes would meet, and
   /// finds out whether it ended by a crash.
@@ -61,6 +83,7 @@
   [[nodiscard]] WorkRequest ToWork(const ServeRequest& request,
                                    TimePoint deadline) const;
   void ReadState();
+  void ApplyState(std::optional<EngineState> read);
   /// Returns the incarnation of the engine, reading its state first if it is
   /// not known.
   [[nodiscard]] std::optional<std::uint64_t> Incarnation();
@@ -70,6 +93,13 @@
   Process& process;
   Engine engine;
   ClaimsGuard claims;
+  const WallTime started;
+  PeerTargets peers;
+  CopyUse use;
+  ShareOwner share;
+  FallbackLoader loader;
+  OrderDriver orders;
+  LoadOnDemand on_demand;
   AdmissionGate gate;
   CrashWatch crashes;
   mutable std::mutex mutex;
--- a/src/rpc/agent_server.h
+++ b/src/rpc/agent_server.h
@@ -40,6 +40,15 @@
   virtual PeerUpdate OnConfigSince(std::optional<ConfigVersion> version) = 0;
   /// A process without a target has no load.
   virtual TargetLoad OnLoad() { return {}; }
+  /// Returns a grant if this process owns the fallback share and may give one.
+  virtual std::optional<LoadGrant> OnRequestLoad(const LoadRequest&) {
+    return std::nullopt;
+  }
+  virtual void OnLoadEnded(const LoadGrant&) {}
+  /// Returns whether the target has a copy and keeps it for this time.
+  virtual bool OnKeepCopy(const ModelId&, std::chrono::milliseconds) {
+    return false;
+  }
 };
 
 /// Serves the RPC interface of a process at its address.
--- a/src/rpc/convert.h
+++ b/src/rpc/convert.h
@@ -13,6 +13,7 @@
 void Write(wire::Load::Builder to, const TargetLoad& from);
 void Write(wire::Chunk::Builder to, const ChunkMessage& from);
 void Write(wire::ConfigUpdate::Builder to, const PeerUpdate& from);
+void Write(wire::LoadGrant::Builder to, const LoadGrant& from);
 
 [[nodiscard]] ServeRequest Read(wire::Request::Reader from);
 [[nodiscard]] Invocation Read(wire::Invocation::Reader from);
@@ -20,6 +21,7 @@
 [[nodiscard]] TargetLoad Read(wire::Load::Reader from);
 [[nodiscard]] ChunkMessage Read(wire::Chunk::Reader from);
 [[nodiscard]] PeerUpdate Read(wire::ConfigUpdate::Reader from);
+[[nodiscard]] LoadGrant Read(wire::LoadGrant::Reader from);
 
 }  // namespace pimentospar
 
