Tell again of a newer configuration that was not fetched

Cause: with 100 agents a change was not in force everywhere after 15 s (support/bench_capacity.sh 100: gave up waiting for all_have). Membership told of a newer version once; a fetch that failed, or whose peer's RPC address was not known yet, left the process to its own read of the log, up to 37 s later.

Change: news of a version that is still not in force is told again after 500 ms.

The new test fails without the change.

--- a/include/pimentospar/membership.h
+++ b/include/pimentospar/membership.h
@@ -289,6 +289,7 @@
   TimePoint budget_updated{};
   ConfigVersion config_version;
   ConfigVersion newest_version;
+  TimePoint newer_told_at{};
   std::map<MemberAddress, Member> members;
   std::map<StrikeKey, Strike> strikes;
   std::map<RegionId, std::map<ModelId, std::uint32_t>> told_copies;
--- a/src/membership_messages.cc
+++ b/src/membership_messages.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::chrono::seconds kRelayTime{1};
+// A fetch that fails, or whose peer is not known yet, is tried again from the
+// next member that has the version; told once, a process waited for its own
+// read of the log.
+constexpr std::chrono::milliseconds kNewerConfigRepeat{500};
 constexpr std::size_t kMaxRelays = 64;
 constexpr std::size_t kMaxUpdatesPerMessage = 64;
 constexpr std::size_t kOthersPerMessage = 4;
@@ -199,9 +203,13 @@
       !this->TakeSender(message)) {
     return this->Finish();
   }
+  const TimePoint now = this->clock.Now();
+  const bool is_first_news = message.config_version > this->newest_version;
   if (message.config_version > this->config_version &&
-      message.config_version > this->newest_version) {
-    this->newest_version = message.config_version;
+      (is_first_news || now - this->newer_told_at >= kNewerConfigRepeat)) {
+    this->newest_version =
+        std::max(this->newest_version, message.config_version);
+    this->newer_told_at = now;
     this->actions.emplace_back(
         NewerConfig{message.from, message.config_version});
   }
--- a/test/membership_test.cc
+++ b/test/membership_test.cc
@@ -358,5 +358,37 @@
   }
 }
 
+// Guards against a process that is told once of a newer configuration, fails
+// to fetch it, and stays on the old one until its own read of the log.
+BOOST_AUTO_TEST_CASE(TellsAgainOfAConfigurationThatWasNotFetched) {
+  ManualClock clock;
+  SeededRandom random(1);
+  Membership::Options options;
+  options.address = MemberAddress("10.0.0.1:1");
+  options.instance = InstanceId{1};
+  options.payload.region = RegionId("r");
+  Membership membership(options, clock, random);
+  const auto told = [&](std::uint64_t peer) {
+    GossipMessage message;
+    message.from = MemberAddress("10.0.0.2:" + std::to_string(peer));
+    message.instance = InstanceId{peer};
+    message.incarnation = 1;
+    message.region = RegionId("r");
+    message.config_version = ConfigVersion{5};
+    message.body = Probe{ProbeId{peer}};
+    const MembershipActions actions = membership.OnMessage(message);
+    return std::ranges::any_of(actions, [](const MembershipAction& action) {
+      return std::holds_alternative<NewerConfig>(action);
+    });
+  };
+  BOOST_TEST(told(2));
+  BOOST_TEST(!told(3));
+  clock.Advance(std::chrono::milliseconds(600));
+  BOOST_TEST(told(4));
+  membership.SetConfigVersion(ConfigVersion{5});
+  clock.Advance(std::chrono::seconds(10));
+  BOOST_TEST(!told(5));
+}
+
 }  // namespace
 }  // namespace pimentospar
