Give the fake engine of agent_test the model that its requests name

Change: the fake engine lists the model; the expectations are the same.

Measured: agent_test: 2 of 2 cases pass; before: no end within 240 s.

--- a/test/adapter/agent_test.cc
+++ b/test/adapter/agent_test.cc
@@ -57,6 +57,7 @@
     ServeRequest request;
     request.attempt = AttemptId{number};
     request.fingerprint = Fingerprint{number};
+    request.model = ModelId("m");
     request.body = "{}";
     request.remaining = std::chrono::seconds(30);
     auto reply = std::make_shared<FakeReply>();
@@ -79,7 +80,8 @@
     if (exchange.Request().path == "/state") {
       exchange.Respond({.body = R"({"incarnation":)" +
                                 std::to_string(this->incarnation.load()) +
-                                "}"});
+                                R"(,"capacity_bytes":100,"items":[)"
+                                R"({"item":"m","kind":"model","bytes":1}]})"});
       return;
     }
     const int before = this->breaks.load();
