--- a/test/adapter/http_server_test.cc
+++ b/test/adapter/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <thread>
 
 #include "net/fiber_thread.h"
 
@@ -95,6 +96,10 @@
 BOOST_FIXTURE_TEST_CASE(ClosesTheConnectionOfAStalledSender, Fixture) {
   BOOST_TEST(
       this->Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc").empty());
+  // The timer closes the connection before the server counts the refusal.
+  for (int i = 0; i < 2000 && !this->Counted("sender_stalled"); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
   BOOST_TEST(this->Counted("sender_stalled"));
 }
 
