--- a/src/rpc/agent_client.cc
+++ b/src/rpc/agent_client.cc
@@ -150,33 +150,29 @@
 
 AgentClient::~AgentClient() = default;
 
-std::shared_ptr<AttemptStream> AgentClient::Serve(const Address& agent,
-                                                  ServeRequest request) {
-  auto stream = std::make_shared<AttemptStream>(request.attempt);
-  auto shared = std::make_shared<ServeRequest>(std::move(request));
-  const bool taken = this->rpc.TryRun([this, agent, stream, shared,
-                                       connections = this->connections](
-                                          kj::AsyncIoContext& context) {
-    auto sent = std::make_shared<bool>(false);
-    auto call =
-        connections->Get(context, agent)
-            .then([stream, shared, sent](wire::Agent::Client client) {
-              auto message = client.serveRequest();
-              Write(message.initRequest(), *shared);
-              message.setSink(kj::heap<SinkServer>(stream));
-              *sent = true;
-              return message.send().then(
-                  [stream](
-                      capnp::Response<wire::Agent::ServeResults>&& response) {
-                    (void)stream->Deliver(Read(response.getOutcome()));
-                  });
-            });
-    this->rpc.Detach(call.catch_([stream, sent](kj::Exception&& error) {
-      (void)stream->Deliver(
-          Unreachable(stream->Id(), *sent ? Executed::kUnknown : Executed::kNo,
-                      error.getDescription().cStr()));
-    }));
-  });
+template <typename Send>
+std::shared_ptr<AttemptStream> AgentClient::Start(const Address& agent,
+                                                  AttemptId attempt,
+                                                  Send send) {
+  auto stream = std::make_shared<AttemptStream>(attempt);
+  const bool taken = this->rpc.TryRun(
+      [this, agent, stream, send,
+       connections = this->connections](kj::AsyncIoContext& context) {
+        auto sent = std::make_shared<bool>(false);
+        auto call = connections->Get(context, agent)
+                        .then([stream, send, sent](wire::Agent::Client client) {
+                          *sent = true;
+                          return send(client, stream);
+                        })
+                        .then([stream](Outcome&& outcome) {
+                          (void)stream->Deliver(std::move(outcome));
+                        });
+        this->rpc.Detach(call.catch_([stream, sent](kj::Exception&& error) {
+          (void)stream->Deliver(Unreachable(
+              stream->Id(), *sent ? Executed::kUnknown : Executed::kNo,
+              error.getDescription().cStr()));
+        }));
+      });
   if (!taken) {
     Outcome outcome =
         Unreachable(stream->Id(), Executed::kNo, "too many calls to agents");
@@ -186,39 +182,38 @@
   return stream;
 }
 
+std::shared_ptr<AttemptStream> AgentClient::Serve(const Address& agent,
+                                                  ServeRequest request) {
+  const AttemptId attempt = request.attempt;
+  return this->Start(
+      agent, attempt,
+      [shared = std::make_shared<ServeRequest>(std::move(request))](
+          wire::Agent::Client& client,
+          const std::shared_ptr<AttemptStream>& stream) {
+        auto message = client.serveRequest();
+        Write(message.initRequest(), *shared);
+        message.setSink(kj::heap<SinkServer>(stream));
+        return message.send().then(
+            [](capnp::Response<wire::Agent::ServeResults>&& response) {
+              return Read(response.getOutcome());
+            });
+      });
+}
+
 std::shared_ptr<AttemptStream> AgentClient::Invoke(const Address& agent,
                                                    Invocation invocation) {
-  auto stream = std::make_shared<AttemptStream>(invocation.attempt);
-  auto shared = std::make_shared<Invocation>(std::move(invocation));
-  const bool taken = this->rpc.TryRun([this, agent, stream, shared,
-                                       connections = this->connections](
-                                          kj::AsyncIoContext& context) {
-    auto sent = std::make_shared<bool>(false);
-    auto call =
-        connections->Get(context, agent)
-            .then([stream, shared, sent](wire::Agent::Client client) {
-              auto message = client.invokeRequest();
-              Write(message.initInvocation(), *shared);
-              *sent = true;
-              return message.send().then(
-                  [stream](
-                      capnp::Response<wire::Agent::InvokeResults>&& response) {
-                    (void)stream->Deliver(Read(response.getOutcome()));
-                  });
+  const AttemptId attempt = invocation.attempt;
+  return this->Start(
+      agent, attempt,
+      [shared = std::make_shared<Invocation>(std::move(invocation))](
+          wire::Agent::Client& client, const std::shared_ptr<AttemptStream>&) {
+        auto message = client.invokeRequest();
+        Write(message.initInvocation(), *shared);
+        return message.send().then(
+            [](capnp::Response<wire::Agent::InvokeResults>&& response) {
+              return Read(response.getOutcome());
             });
-    this->rpc.Detach(call.catch_([stream, sent](kj::Exception&& error) {
-      (void)stream->Deliver(
-          Unreachable(stream->Id(), *sent ? Executed::kUnknown : Executed::kNo,
-                      error.getDescription().cStr()));
-    }));
-  });
-  if (!taken) {
-    Outcome outcome =
-        Unreachable(stream->Id(), Executed::kNo, "too many calls to agents");
-    outcome.reason = Reason::kRingFull;
-    (void)stream->Deliver(outcome);
-  }
-  return stream;
+      });
 }
 
 void AgentClient::Cancel(const Address& agent, AttemptId attempt) {
--- a/src/rpc/agent_client.h
+++ b/src/rpc/agent_client.h
@@ -82,6 +82,13 @@
  private:
   class Connections;
 
+  /// Connects, and has `send` make the call; it returns a promise of the
+  /// outcome.
+  template <typename Send>
+  std::shared_ptr<AttemptStream> Start(const Address& agent,
+                                       AttemptId attempt,
+                                       Send send);
+
   /// Makes a call whose answer is `Answer`; the default one if it fails or has
   /// no answer in time. `send` runs on the RPC thread.
   template <typename Answer, typename Send>
