--- a/bench/entry.cc
+++ b/bench/entry.cc
@@ -79,6 +79,7 @@
   const double agent_before = CpuSeconds(options.agent_pid);
   const TimePoint begin = clock.Now();
   std::vector<boost::fibers::fiber> callers;
+  callers.reserve(static_cast<std::size_t>(options.concurrency));
   int left = options.requests;
   for (int caller = 0; caller < options.concurrency; ++caller) {
     callers.emplace_back([&] {
--- a/src/agent/claims_guard.cc
+++ b/src/agent/claims_guard.cc
@@ -134,7 +134,7 @@
   this->Carry(shard, shard.claims.OnRequest(request));
 }
 
-void ClaimsGuard::Spawn(std::function<void()> step) {
+void ClaimsGuard::Spawn(const std::function<void()>& step) {
   if (!this->process.control.TryRun(step)) {
     // The shard waits for the answer to this action, so it is carried out here
     // after all.
@@ -149,7 +149,7 @@
   }
 }
 
-void ClaimsGuard::Do(Shard& shard, AppendGroup action) {
+void ClaimsGuard::Do(Shard& shard, const AppendGroup& action) {
   this->settled.store(false);
   this->Spawn([this, &shard, body = Encode(action.group)] {
     const auto result = this->process.log.Append(shard.stream, body);
--- a/src/agent/claims_guard.h
+++ b/src/agent/claims_guard.h
@@ -57,13 +57,13 @@
   void AddShards(const ActiveConfig& active, const ServiceConfig& service);
   void Request(std::uint32_t index, Pending pending, TimePoint deadline);
   void Carry(Shard& shard, ClaimActions actions);
-  void Do(Shard& shard, AppendGroup action);
+  void Do(Shard& shard, const AppendGroup& action);
   void Do(Shard& shard, const ReadStream& action);
   void Do(Shard& shard, const DispatchClaim& action);
   void Do(Shard& shard, const AnswerRequest& action);
   void Do(Shard& shard, const AnswerLater& action);
   /// Runs a step that waits for the network in a fiber of its own.
-  void Spawn(std::function<void()> step);
+  void Spawn(const std::function<void()>& step);
 
   Process& process;
   Engine& engine;
--- a/src/control/gossip.cc
+++ b/src/control/gossip.cc
@@ -18,6 +18,8 @@
 struct Overload : Visitors... {
   using Visitors::operator()...;
 };
+template <typename... Visitors>
+Overload(Visitors...) -> Overload<Visitors...>;
 
 }  // namespace
 
@@ -199,7 +201,7 @@
         LogDebug("region_summary", {{"region", action.summary.region.value},
                                     {"models", action.summary.copies.size()}});
       }};
-  for (const MembershipAction& action : actions) {
+  for (MembershipAction& action : actions) {
     std::visit(carry, action);
   }
 }
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -24,7 +24,7 @@
 // One kind of value each; the visitors below read, check and describe them.
 struct TextSetting {
   std::string Settings::*member;
-  std::string_view fallback = "";
+  std::string_view fallback;
 };
 struct ChoiceSetting {
   std::string Settings::*member;
@@ -65,7 +65,7 @@
 
 using namespace std::chrono_literals;
 
-const std::array kSettings = {
+constexpr std::array kSettings = {
     Setting{"role", Need::kAlways,
             ChoiceSetting{&Settings::role, "", {"entry", "agent"}},
             "What the process does"},
@@ -166,6 +166,8 @@
 struct Overload : Visitors... {
   using Visitors::operator()...;
 };
+template <typename... Visitors>
+Overload(Visitors...) -> Overload<Visitors...>;
 
 // Reads the values of one file and collects what is wrong.
 class Reader {
