--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -121,7 +121,7 @@
     --this->running;
   }
 
-  void Generate(HttpExchange& exchange, const ChatCall chat) {
+  void Generate(HttpExchange& exchange, const ChatCall& chat) {
     const std::string id(exchange.Request().Header("X-Attempt"));
     exchange.StartStream({.content_type = "text/event-stream"});
     const auto break_after =
