Read the bounds of HTTP addresses from the settings in one place

Cause: the entry and the operators' address each built the same HttpLimits from the same five settings.

Change: LimitsFrom in daemon/process. No behaviour changes.

Measured: adapter tests 9 of 9, support/demo.sh 0 wrong, support/lint.sh on the three files 0. The linter was not run again on the other files that include the changed header.

Conclusion: a new bound is added once.

--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -26,6 +26,14 @@
 
 }  // namespace
 
+HttpLimits LimitsFrom(const Settings& settings) {
+  return {.header_bytes = static_cast<std::uint32_t>(settings.header_bytes),
+          .body_bytes = settings.body_bytes,
+          .connections = settings.connections,
+          .idle_time = settings.idle_time,
+          .stall_time = settings.stall_time};
+}
+
 Process::Process(const Settings& settings)
     : settings(settings),
       random(EntropySeed()),
@@ -53,15 +61,10 @@
 
 void Process::Start(Readiness readiness, AgentHandler& handler) {
   this->readiness = std::move(readiness);
-  const HttpLimits limits{
-      .header_bytes = static_cast<std::uint32_t>(this->settings.header_bytes),
-      .body_bytes = this->settings.body_bytes,
-      .connections = this->settings.connections,
-      .idle_time = this->settings.idle_time,
-      .stall_time = this->settings.stall_time};
   this->operator_server = std::make_unique<HttpServer>(
-      this->io, AddressOf(this->settings.operator_address).ToEndpoint(), limits,
-      this->metrics, [this](const std::shared_ptr<HttpExchange>& exchange) {
+      this->io, AddressOf(this->settings.operator_address).ToEndpoint(),
+      LimitsFrom(this->settings), this->metrics,
+      [this](const std::shared_ptr<HttpExchange>& exchange) {
         return this->HandleOperator(exchange);
       });
   LogInfo("listening",
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -36,6 +36,9 @@
   SeededRandom random;
 };
 
+/// Returns the bounds that the settings put on each HTTP address.
+[[nodiscard]] HttpLimits LimitsFrom(const Settings& settings);
+
 /// What both roles need: threads, clients, configuration, metrics and the
 /// operators' address.
 class Process {
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -49,16 +49,10 @@
 
 void Entry::Start() {
   const Settings& settings = this->process.settings;
-  const HttpLimits limits{
-      .header_bytes = static_cast<std::uint32_t>(settings.header_bytes),
-      .body_bytes = settings.body_bytes,
-      .connections = settings.connections,
-      .idle_time = settings.idle_time,
-      .stall_time = settings.stall_time};
   this->server = std::make_unique<HttpServer>(
       this->process.io,
       ParseAddress(settings.caller_address).value_or(Address{}).ToEndpoint(),
-      limits, this->process.metrics,
+      LimitsFrom(settings), this->process.metrics,
       [this](const std::shared_ptr<HttpExchange>& exchange) {
         return this->OnRequest(exchange);
       });
