Let a target refuse before the caller's deadline, and settle what it knows after it

Cause: the entry gave a target all of the time that the caller had left, so the refusal 'model_loading, not run' of a load that did not end in time raced the entry's own deadline, which can only say 'unknown'. The stand-in of the test counted sleeps instead of time, which made it later still on a slow machine.

Ruled out: the routing (the request reached the agent each time) and the conversion of reasons (the refusal was right whenever it arrived).

Change: a target is given 100 ms (at most a quarter) less than what is left. An attempt without an answer at the deadline is cancelled, and its target may still tell for 250 ms that it has not run. The stand-in keeps its deadline by the clock.

--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kCopyNewsTime{300};
 constexpr std::chrono::milliseconds kLoadPoll{50};
 constexpr std::chrono::seconds kRetryLater{1};
+// Part of the deadline that a target leaves to the way back of its refusal.
+constexpr std::chrono::milliseconds kAnswerReserve{100};
 
 AttemptEnd EndOf(Reason reason) {
   switch (reason) {
@@ -43,6 +45,25 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now));
 }
 
+std::chrono::milliseconds RemainingAtTarget(TimePoint now, TimePoint deadline) {
+  const auto remaining = Remaining(now, deadline);
+  return remaining - std::min(kAnswerReserve, remaining / 4);
+}
+
+Outcome AwaitOutcome(AttemptStream& stream,
+                     TimePoint until,
+                     Outcome otherwise) {
+  while (true) {
+    AttemptEvent event = stream.Next(until);
+    auto* outcome = std::get_if<Outcome>(&event);
+    if (outcome == nullptr) {
+      continue;
+    }
+    return outcome->reason == Reason::kDeadlineExceeded ? std::move(otherwise)
+                                                        : std::move(*outcome);
+  }
+}
+
 std::optional<Problem> Attempts::Admit() {
   const QuarantineVerdict verdict =
       this->parts.routing.Judge(this->context.fingerprint);
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -31,6 +31,21 @@
 [[nodiscard]] std::chrono::milliseconds Remaining(TimePoint now,
                                                   TimePoint deadline);
 
+/// Returns the time that a target is given: less than what is left, so that its
+/// refusal arrives before the deadline.
+[[nodiscard]] std::chrono::milliseconds RemainingAtTarget(TimePoint now,
+                                                          TimePoint deadline);
+
+/// How long after the deadline a target may still tell that it has not run the
+/// request.
+constexpr std::chrono::milliseconds kSettleTime{250};
+
+/// Drops chunks until the outcome arrives; returns `otherwise` if it does not
+/// arrive in time.
+[[nodiscard]] Outcome AwaitOutcome(AttemptStream& stream,
+                                   TimePoint until,
+                                   Outcome otherwise);
+
 /// The attempts of one request, one after the other: quarantine, choice of the
 /// target, and retries. Its functions suspend the request's fiber.
 class Attempts {
--- a/src/entry/chat_handler.cc
+++ b/src/entry/chat_handler.cc
@@ -89,8 +89,8 @@
   request.adapter = this->chat.adapter;
   request.priority = this->context.priority;
   request.body = this->context.exchange->Request().body;
-  request.remaining =
-      Remaining(this->parts.process.clock.Now(), this->context.deadline);
+  request.remaining = RemainingAtTarget(this->parts.process.clock.Now(),
+                                        this->context.deadline);
   request.fingerprint = this->context.fingerprint;
   request.resume_tokens = {delivered.begin(), delivered.end()};
   request.config_version = this->context.config->version;
@@ -125,13 +125,8 @@
     AttemptEvent event = stream->Next(this->context.deadline);
     auto* chunk = std::get_if<ChunkMessage>(&event);
     if (chunk == nullptr) {
-      Outcome outcome =
-          this->Judge(attempt, std::get<Outcome>(std::move(event)));
-      if (outcome.reason == Reason::kDeadlineExceeded) {
-        this->parts.process.agents.Cancel(attempt.route.agent.address,
-                                          attempt.id);
-      }
-      return outcome;
+      return this->Judge(
+          attempt, this->Settle(attempt, *stream, std::get<Outcome>(event)));
     }
     if (attempt.tokens > 0) {
       attempt.waited += this->parts.process.clock.Now() - start;
@@ -147,6 +142,20 @@
   return outcome;
 }
 
+Outcome ChatHandler::Settle(const Attempt& attempt,
+                            AttemptStream& stream,
+                            Outcome outcome) {
+  if (outcome.reason != Reason::kDeadlineExceeded) {
+    return outcome;
+  }
+  this->parts.process.agents.Cancel(attempt.route.agent.address, attempt.id);
+  if (attempt.tokens > 0) {
+    return outcome;
+  }
+  return AwaitOutcome(stream, this->parts.process.clock.Now() + kSettleTime,
+                      std::move(outcome));
+}
+
 void ChatHandler::OnChunk(Attempt& attempt, ChunkMessage& chunk) {
   const ChunkVerdict verdict = this->assembler.OnChunk(
       {chunk.attempt, chunk.sequence, chunk.text, chunk.last});
--- a/src/entry/chat_handler.h
+++ b/src/entry/chat_handler.h
@@ -32,6 +32,11 @@
   /// does.
   [[nodiscard]] std::optional<Problem> RunAttempts();
   [[nodiscard]] Outcome RunAttempt(Attempt& attempt);
+  // An attempt without an answer at the deadline is cancelled, and its target
+  // may still tell that it has not run.
+  [[nodiscard]] Outcome Settle(const Attempt& attempt,
+                               AttemptStream& stream,
+                               Outcome outcome);
   [[nodiscard]] ServeRequest ToServe(AttemptId id) const;
   [[nodiscard]] std::shared_ptr<AttemptStream> Send(const Attempt& attempt);
   void OnChunk(Attempt& attempt, ChunkMessage& chunk);
--- a/src/entry/service_handler.cc
+++ b/src/entry/service_handler.cc
@@ -85,17 +85,22 @@
   invocation.operation = this->call.operation;
   invocation.idempotency_key = this->call.idempotent ? "" : this->call.key;
   invocation.body = this->context.exchange->Request().body;
-  invocation.remaining =
-      Remaining(this->parts.process.clock.Now(), this->context.deadline);
+  invocation.remaining = RemainingAtTarget(this->parts.process.clock.Now(),
+                                           this->context.deadline);
   invocation.fingerprint = this->context.fingerprint;
   invocation.config_version = this->context.config->version;
   invocation.struck = this->attempts.IsStruck();
   const auto stream = this->parts.process.agents.Invoke(route.agent.address,
                                                         std::move(invocation));
-  AttemptEvent event = stream->Next(this->context.deadline);
-  if (auto* outcome = std::get_if<Outcome>(&event);
-      outcome != nullptr && outcome->attempt == id) {
-    return std::move(*outcome);
+  Outcome silent;
+  silent.attempt = id;
+  silent.reason = Reason::kDeadlineExceeded;
+  silent.executed = Executed::kUnknown;
+  silent.detail = "no answer in time";
+  Outcome outcome = AwaitOutcome(*stream, this->context.deadline + kSettleTime,
+                                 std::move(silent));
+  if (outcome.attempt == id) {
+    return outcome;
   }
   Outcome crossed;
   crossed.attempt = id;
--- a/test/adapter/entry_test.cc
+++ b/test/adapter/entry_test.cc
@@ -50,8 +50,8 @@
         return;
       }
       // Like an agent that loads the model on demand.
-      for (auto left = request.remaining;
-           !this->script.loaded.load() && left > kLoadStep; left -= kLoadStep) {
+      const TimePoint deadline = this->clock.Now() + request.remaining;
+      while (!this->script.loaded.load() && this->clock.Now() < deadline) {
         boost::this_fiber::sleep_for(kLoadStep);
       }
       if (!this->script.loaded.load()) {
@@ -92,6 +92,7 @@
  private:
   Script& script;
   FiberThread& worker;
+  SystemClock clock;
   std::uint64_t sequence = 0;
 };
 
