--- a/include/pimentospar/clock.h
+++ b/include/pimentospar/clock.h
@@ -27,6 +27,14 @@
   [[nodiscard]] WallTime WallNow() const override;
 };
 
+/// The clock of the machine, which also counts the time that the machine was
+/// suspended: leases lapse then too.
+class BootClock final : public Clock {
+ public:
+  [[nodiscard]] TimePoint Now() const override;
+  [[nodiscard]] WallTime WallNow() const override;
+};
+
 /// A clock that moves only when told to.
 ///
 ///     ManualClock clock;
--- /dev/null
+++ b/include/pimentospar/planning/copy_planner.h
@@ -0,0 +1,197 @@
+#ifndef INCLUDE_PIMENTOSPAR_PLANNING_COPY_PLANNER_H_
+#define INCLUDE_PIMENTOSPAR_PLANNING_COPY_PLANNER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "pimentospar/clock.h"
+#include "pimentospar/routing/route_table.h"
+#include "pimentospar/routing/target_board.h"
+#include "pimentospar/types.h"
+
+namespace pimentospar {
+
+/// A copy at the engines of one service.
+struct ServiceCopy {
+  ServiceId service;
+  CopyRef copy;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`
+  auto operator<=>(const ServiceCopy&) const = default;
+};
+
+/// Requests for a copy that arrived since the last report.
+struct CopyDemand {
+  ServiceCopy copy;
+  double requests = 0;
+  /// Time of an engine that they take.
+  Duration work{0};
+};
+
+enum class OrderKind : std::uint8_t { kLoad, kUnload };
+
+/// Why an order is given.
+enum class OrderReason : std::uint8_t {
+  /// Requests wait for a model or adapter that no target holds.
+  kWanted,
+  /// The targets of a model have more work than they can do in time.
+  kOverload,
+  /// Another copy needs the memory or the place more.
+  kMakeRoom
+};
+
+[[nodiscard]] std::string_view ToString(OrderKind kind);
+[[nodiscard]] std::string_view ToString(OrderReason reason);
+
+/// An order for one target; a target has one order at a time.
+struct PlannedOrder {
+  TargetId target;
+  OrderKind kind = OrderKind::kLoad;
+  CopyRef copy;
+  OrderReason reason = OrderReason::kWanted;
+  /// The load counts against the limit of the weight store.
+  bool from_store = false;
+};
+
+/// How an order ended.
+enum class OrderEnd : std::uint8_t {
+  kDone,
+  /// The target did not take it.
+  kRefused,
+  /// The target's state has to be read before anything is known.
+  kUnknown
+};
+
+struct CopyPlannerOptions {
+  /// Time constant of the demand.
+  Duration demand_memory = std::chrono::seconds(3);
+  /// A copy counts as wanted for this time after it was last asked for.
+  Duration wanted_memory = std::chrono::milliseconds(500);
+  /// Work per copy and time from which a model gets a further copy.
+  double busy_share = 0.3;
+  /// Loads begun in this window stay within the rate of the store.
+  Duration store_window = std::chrono::seconds(5);
+  /// A copy stays at least this long unless nobody asks for it.
+  Duration min_stay = std::chrono::seconds(4);
+  /// An adapter that was used so recently is not unloaded for another one.
+  Duration adapter_rest = std::chrono::milliseconds(1500);
+  /// Worth of keeping the only copy of a model that nobody asks for, as work
+  /// per time.
+  double idle_copy_worth = 0.02;
+  /// Work per time that a load must relieve.
+  double load_cost = 0.05;
+  /// A refused order is not tried again at its target for this time.
+  Duration refusal_pause = std::chrono::milliseconds(300);
+};
+
+/// Decides which models and adapters the engines load and unload while a load
+/// takes seconds and demand moves within seconds.
+///
+/// Serves one holder of the planner's lease. `Planner` in placement.h serves
+/// deployments with loads of minutes, where no last copy may go.
+///
+///     planner.OnTargets(board.Targets());
+///     planner.OnDemand(demand);
+///     for (const PlannedOrder& order : planner.Step()) { ... }
+///     planner.OnOrderEnd(order.target, OrderEnd::kDone);
+class CopyPlanner {
+ public:
+  CopyPlanner(const Clock& clock, CopyPlannerOptions options)
+      : clock(clock), options(options) {}
+
+  /// Replaces the services whose engines load models.
+  void OnServices(std::span<const ServiceSpec> services);
+  void OnTargets(std::span<const TargetDescription> targets);
+  void OnDemand(const CopyDemand& demand);
+  /// A request waits for the copy now.
+  void OnWanted(const ServiceCopy& copy);
+  void OnOrderEnd(const TargetId& target, OrderEnd end);
+  /// Forgets the orders under way; for a process that lost the lease.
+  void Reset();
+
+  /// Returns the orders to give now.
+  [[nodiscard]] std::vector<PlannedOrder> Step();
+
+  /// Returns the orders that have been given and have not ended.
+  [[nodiscard]] std::size_t PendingCount() const;
+
+ private:
+  struct Engine {
+    TargetId id;
+    ServiceId service;
+    DataCentreId data_centre;
+    bool usable = false;
+    std::int64_t started = 0;
+    std::vector<LoadedModel> models;
+    std::optional<PlannedOrder> pending;
+    TimePoint paused_until{};
+    /// Models that the target has copies of outside its memory.
+    std::set<ModelId> at_hand;
+    std::map<ModelId, TimePoint> since;
+  };
+  struct Interest {
+    double requests = 0;
+    Duration work{0};
+    TimePoint updated;
+    TimePoint last_used{};
+    TimePoint wanted_at{};
+    TimePoint wanted_since{};
+  };
+  struct Need {
+    ServiceCopy copy;
+    double gain = 0;
+    OrderReason reason = OrderReason::kWanted;
+  };
+  struct Room {
+    Engine* engine = nullptr;
+    /// Set if a copy has to go first.
+    std::optional<ModelId> victim;
+    double loss = 0;
+    bool at_hand = false;
+  };
+
+  Interest& InterestIn(const ServiceCopy& copy);
+  [[nodiscard]] double WorkOf(const ServiceCopy& copy) const;
+  [[nodiscard]] bool IsWanted(const Interest& interest) const;
+  [[nodiscard]] std::size_t CopiesOf(const ServiceCopy& copy,
+                                     bool with_pending) const;
+  [[nodiscard]] double LossOf(const Engine& engine, const ModelId& model) const;
+  [[nodiscard]] std::vector<Need> ModelNeeds(const ServiceSpec& service) const;
+  [[nodiscard]] std::optional<Room> RoomFor(const ServiceSpec& service,
+                                            const ModelSpec& model);
+  [[nodiscard]] bool Fits(const EngineSpec& spec,
+                          const Engine& engine,
+                          const ModelSpec& model,
+                          const std::optional<ModelId>& without) const;
+  [[nodiscard]] bool IsFree(const Engine& engine) const;
+  [[nodiscard]] bool MayLoad(const EngineSpec& spec,
+                             std::chrono::milliseconds load_time);
+  void PlanModels(const ServiceSpec& service,
+                  std::vector<PlannedOrder>& orders);
+  void PlanAdapters(const ServiceSpec& service,
+                    std::vector<PlannedOrder>& orders);
+  void PlaceAdapter(const ServiceSpec& service,
+                    const ServiceCopy& wanted,
+                    std::vector<PlannedOrder>& orders);
+  void Give(Engine& engine,
+            PlannedOrder order,
+            std::vector<PlannedOrder>& orders);
+  void ForgetOldInterests();
+
+  const Clock& clock;
+  CopyPlannerOptions options;
+  std::vector<ServiceSpec> services;
+  std::map<TargetId, Engine> engines;
+  std::map<ServiceCopy, Interest> interests;
+  /// Starts of loads from the store within the window.
+  std::deque<TimePoint> store_loads;
+};
+
+}  // namespace pimentospar
+
+#endif  // INCLUDE_PIMENTOSPAR_PLANNING_COPY_PLANNER_H_
--- /dev/null
+++ b/schema/gateway.capnp
@@ -0,0 +1,53 @@
+@0xc6f1f0a4d2b85e17;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("pimentospar::wire");
+
+struct EntryMessage {
+  # What one entry tells another in one datagram.
+  host @0 :Text;
+  # Drawn when the process starts.
+  instance @1 :UInt64;
+  sequence @2 :UInt64;
+  configVersion @3 :UInt64;
+  # Log offset of the planner's lease that the sender holds, plus 1; 0 for none.
+  lease @4 :UInt64;
+  demand @5 :List(EntryDemand);
+  wanted @6 :List(EntryCopy);
+  inventories @7 :List(EntryInventory);
+  strikes @8 :List(EntryStrike);
+}
+
+struct EntryCopy {
+  service @0 :Text;
+  model @1 :Text;
+  # Empty for the model itself.
+  adapter @2 :Text;
+}
+
+struct EntryDemand {
+  # Requests since the last message of the sender.
+  copy @0 :EntryCopy;
+  requests @1 :UInt32;
+  workMs @2 :UInt32;
+}
+
+struct EntryModel {
+  model @0 :Text;
+  adapters @1 :List(Text);
+}
+
+struct EntryInventory {
+  target @0 :Text;
+  startedMs @1 :Int64;
+  orders @2 :UInt64;
+  models @3 :List(EntryModel);
+}
+
+struct EntryStrike {
+  fingerprint @0 :UInt64;
+  crash @1 :UInt64;
+  cleared @2 :Bool;
+  ageMs @3 :UInt32;
+  lastSeenAgeMs @4 :UInt32;
+}
--- a/src/clock.cc
+++ b/src/clock.cc
@@ -1,5 +1,7 @@
 #include "pimentospar/clock.h"
 
+#include <ctime>
+
 namespace pimentospar {
 
 TimePoint SystemClock::Now() const {
@@ -12,4 +14,15 @@
       std::chrono::system_clock::now());
 }
 
+TimePoint BootClock::Now() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+}
+
+WallTime BootClock::WallNow() const {
+  return SystemClock().WallNow();
+}
+
 }  // namespace pimentospar
--- /dev/null
+++ b/src/gateway/alarms.h
@@ -0,0 +1,55 @@
+#ifndef SRC_GATEWAY_ALARMS_H_
+#define SRC_GATEWAY_ALARMS_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+
+#include "gateway/fiber_loop.h"
+
+namespace pimentospar {
+
+/// Calls functions at set times with one timer for all, since most alarms are
+/// cancelled before they are due and arming a timer costs a system call.
+class Alarms {
+ public:
+  explicit Alarms(FiberLoop& loop) : timer(loop.Context()) {}
+
+ private:
+  friend class Alarm;
+  using Time = std::chrono::steady_clock::time_point;
+  using Queue = std::multimap<Time, std::function<void()>>;
+
+  Queue::iterator Add(Time time, std::function<void()> call);
+  void Arm(Time time);
+  void OnTimer();
+
+  boost::asio::basic_waitable_timer<
+      std::chrono::steady_clock,
+      boost::asio::wait_traits<std::chrono::steady_clock>,
+      Executor>
+      timer;
+  Queue queue;
+  Time armed = Time::max();
+};
+
+/// An alarm that its destruction cancels.
+class Alarm {
+ public:
+  Alarm(Alarms& alarms, Duration delay, std::function<void()> call);
+  Alarm(const Alarm&) = delete;
+  Alarm& operator=(const Alarm&) = delete;
+  ~Alarm();
+
+  [[nodiscard]] bool HasFired() const { return this->fired; }
+
+ private:
+  Alarms& alarms;
+  std::function<void()> call;
+  bool fired = false;
+  Alarms::Queue::iterator entry;
+};
+
+}  // namespace pimentospar
+
+#endif  // SRC_GATEWAY_ALARMS_H_
--- /dev/null
+++ b/src/gateway/caller_channel.cc
@@ -0,0 +1,184 @@
+#include "gateway/caller_channel.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace pimentospar {
+
+namespace {
+
+namespace beast = boost::beast;
+
+constexpr std::array<std::string_view, 10> kConnectionFields = {
+    "Connection",          "Keep-Alive", "Proxy-Authenticate",
+    "Proxy-Authorization", "TE",         "Trailer",
+    "Transfer-Encoding",   "Upgrade",    "Proxy-Connection",
+    "Content-Length"};
+
+bool IsConnectionField(std::string_view name) {
+  return std::ranges::any_of(kConnectionFields, [name](std::string_view field) {
+    return beast::iequals(field, name);
+  });
+}
+
+bool IsNamedByConnection(const HttpFields& fields, std::string_view name) {
+  const auto range = fields.equal_range(beast::http::field::connection);
+  for (auto field = range.first; field != range.second; ++field) {
+    if (beast::http::token_list(field->value()).exists(name)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string StatusLine(unsigned status) {
+  const auto reason =
+      beast::http::obsolete_reason(beast::http::int_to_status(status));
+  return fmt::format("HTTP/1.1 {} {}\r\n", status,
+                     std::string_view(reason.data(), reason.size()));
+}
+
+void AppendEndToEnd(std::string& head,
+                    const HttpFields& fields,
+                    const std::function<bool(std::string_view)>& is_left_out) {
+  for (const auto& field : fields) {
+    const std::string_view name = field.name_string();
+    if (IsConnectionField(name) || IsNamedByConnection(fields, name) ||
+        is_left_out(name)) {
+      continue;
+    }
+    const std::string_view value = field.value();
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+}
+
+struct CallerChannel::Watcher {
+  TcpSocket& socket;
+  std::function<void()> gone_call;
+  bool active = true;
+  bool gone = false;
+
+  void OnGone() {
+    this->gone = true;
+    this->active = false;
+    if (this->gone_call) {
+      this->gone_call();
+    }
+  }
+};
+
+CallerChannel::CallerChannel(TcpSocket& socket,
+                             Alarms& alarms,
+                             Duration stall_time)
+    : socket(socket),
+      alarms(alarms),
+      stall_time(stall_time),
+      watcher(std::make_shared<Watcher>(Watcher{socket, nullptr, false})) {}
+
+void CallerChannel::Watch(std::function<void()> gone) {
+  this->watcher->gone_call = std::move(gone);
+  if (!this->watcher->active && !this->watcher->gone) {
+    this->watcher->active = true;
+    Wait(this->watcher);
+  }
+}
+
+void CallerChannel::Wait(const std::shared_ptr<Watcher>& watcher) {
+  watcher->socket.async_wait(TcpSocket::wait_read, [watcher](error_code error) {
+    if (!watcher->active) {
+      return;
+    }
+    char byte = 0;
+    const ssize_t size = error ? -1
+                               : recv(watcher->socket.native_handle(), &byte, 1,
+                                      MSG_PEEK | MSG_DONTWAIT);
+    if (size > 0) {
+      // The next request; it is read after this one.
+      watcher->active = false;
+    } else if (size == 0 || error ||
+               (errno != EAGAIN && errno != EWOULDBLOCK)) {
+      watcher->OnGone();
+    } else {
+      Wait(watcher);
+    }
+  });
+}
+
+void CallerChannel::StopWatching() {
+  this->watcher->gone_call = nullptr;
+  if (this->watcher->active) {
+    this->watcher->active = false;
+    error_code ignored;
+    this->socket.cancel(ignored);
+  }
+}
+
+bool CallerChannel::IsGone() const {
+  return this->watcher->gone;
+}
+
+bool CallerChannel::Write(std::string_view first,
+                          std::string_view second,
+                          std::string_view third) {
+  if (this->IsGone()) {
+    return false;
+  }
+  this->begun = true;
+  const std::array<boost::asio::const_buffer, 3> parts = {
+      boost::asio::buffer(first.data(), first.size()),
+      boost::asio::buffer(second.data(), second.size()),
+      boost::asio::buffer(third.data(), third.size())};
+  error_code error;
+  const std::size_t size = first.size() + second.size() + third.size();
+  // Most answers fit into the socket's buffer, which saves an alarm.
+  this->socket.non_blocking(true, error);
+  std::size_t written = this->socket.write_some(parts, error);
+  if (!error && written == size) {
+    return true;
+  }
+  if (error && error != boost::asio::error::would_block) {
+    this->watcher->gone = true;
+    return false;
+  }
+  std::string rest;
+  for (const std::string_view part : {first, second, third}) {
+    const std::size_t skipped = std::min(written, part.size());
+    rest.append(part.substr(skipped));
+    written -= skipped;
+  }
+  const Alarm limit(this->alarms, this->stall_time, [this] {
+    error_code ignored;
+    this->socket.close(ignored);
+  });
+  const IoResult sent = Await([&](auto handler) {
+    boost::asio::async_write(this->socket, boost::asio::buffer(rest),
+                             std::move(handler));
+  });
+  if (!sent.IsGood()) {
+    this->watcher->gone = true;
+  }
+  return sent.IsGood();
+}
+
+bool CallerChannel::SendWhole(std::string_view head, std::string_view body) {
+  return this->Write(head, body, {});
+}
+
+bool CallerChannel::SendChunk(std::string_view head, std::string_view data) {
+  const std::string start = fmt::format("{}{:x}\r\n", head, data.size());
+  return this->Write(start, data, "\r\n");
+}
+
+bool CallerChannel::EndChunks(std::string_view head) {
+  return this->Write(head, "0\r\n\r\n", {});
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/gateway/entry_link.h
@@ -0,0 +1,74 @@
+#ifndef SRC_GATEWAY_ENTRY_LINK_H_
+#define SRC_GATEWAY_ENTRY_LINK_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "gateway/entry_message.h"
+#include "gateway/fiber_loop.h"
+#include "pimentospar/clock.h"
+
+namespace pimentospar {
+
+using UdpEndpoint = boost::asio::ip::udp::endpoint;
+
+/// Another entry as this one knows it.
+struct PeerEntry {
+  UdpEndpoint address;
+  InstanceId instance;
+  std::uint64_t sequence = 0;
+  std::optional<TimePoint> heard_at;
+  std::optional<LogOffset> lease;
+};
+
+/// Datagrams between the entries.
+class EntryLink {
+ public:
+  using Handler = std::function<void(const EntryMessage&)>;
+
+  EntryLink(FiberLoop& loop,
+            const Clock& clock,
+            const UdpEndpoint& local,
+            HostId self,
+            InstanceId instance,
+            Handler handler);
+
+  void Start();
+  /// Adds an entry, or changes its address.
+  void OnEntry(const HostId& host, const UdpEndpoint& address);
+  void OnEntryGone(const HostId& host) { this->peers.erase(host); }
+
+  /// Fills in who sends, and sends to one entry.
+  void Send(const HostId& host, EntryMessage message);
+  void SendAll(EntryMessage message);
+
+  /// Returns the entry that holds the planner's lease as last heard; nothing if
+  /// none was heard recently.
+  [[nodiscard]] std::optional<HostId> Planner() const;
+  /// Returns the number of registered entries, with this one.
+  [[nodiscard]] std::size_t Count() const { return this->peers.size() + 1; }
+  [[nodiscard]] UdpEndpoint LocalAddress() const {
+    return this->socket.local_endpoint();
+  }
+
+ private:
+  void Receive();
+  void OnDatagram(std::span<const char> bytes);
+  void SendTo(const UdpEndpoint& address, const std::string& bytes);
+  [[nodiscard]] std::string Seal(EntryMessage& message);
+
+  FiberLoop& loop;
+  const Clock& clock;
+  UdpSocket socket;
+  HostId self;
+  InstanceId instance;
+  Handler handler;
+  std::uint64_t sequence = 0;
+  std::map<HostId, PeerEntry> peers;
+};
+
+}  // namespace pimentospar
+
+#endif  // SRC_GATEWAY_ENTRY_LINK_H_
--- /dev/null
+++ b/src/gateway/entry_message.cc
@@ -0,0 +1,167 @@
+#include "gateway/entry_message.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include "gateway.capnp.h"
+
+namespace pimentospar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A message of the largest datagram; anything beyond is not one of ours.
+constexpr std::uint64_t kMaxWords = 64 * 1024;
+
+std::string Text(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+std::uint32_t ToMs(Duration time) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+void Write(wire::EntryCopy::Builder to, const ServiceCopy& from) {
+  to.setService(from.service.value);
+  to.setModel(from.copy.model.value);
+  to.setAdapter(from.copy.adapter.value);
+}
+
+ServiceCopy Read(wire::EntryCopy::Reader from) {
+  return {ServiceId(Text(from.getService())),
+          {ModelId(Text(from.getModel())), AdapterId(Text(from.getAdapter()))}};
+}
+
+void Write(wire::EntryInventory::Builder to, const TargetInventory& from) {
+  to.setTarget(from.target.value);
+  to.setStartedMs(from.inventory.started);
+  to.setOrders(from.inventory.orders);
+  auto models =
+      to.initModels(static_cast<unsigned>(from.inventory.models.size()));
+  unsigned index = 0;
+  for (const LoadedModel& loaded : from.inventory.models) {
+    auto entry = models[index++];
+    entry.setModel(loaded.model.value);
+    auto adapters =
+        entry.initAdapters(static_cast<unsigned>(loaded.adapters.size()));
+    unsigned place = 0;
+    for (const AdapterId& adapter : loaded.adapters) {
+      adapters.set(place++, adapter.value);
+    }
+  }
+}
+
+TargetInventory Read(wire::EntryInventory::Reader from) {
+  TargetInventory read{TargetId(Text(from.getTarget())),
+                       {from.getStartedMs(), from.getOrders(), {}}};
+  for (const auto entry : from.getModels()) {
+    LoadedModel loaded{ModelId(Text(entry.getModel())), {}};
+    for (const auto adapter : entry.getAdapters()) {
+      loaded.adapters.emplace_back(Text(adapter));
+    }
+    read.inventory.models.push_back(std::move(loaded));
+  }
+  return read;
+}
+
+void Write(wire::EntryStrike::Builder to, const StrikeReport& from) {
+  to.setFingerprint(from.fingerprint.value);
+  to.setCrash(from.crash.value);
+  to.setCleared(from.cleared);
+  to.setAgeMs(ToMs(from.age));
+  to.setLastSeenAgeMs(ToMs(from.last_seen_age));
+}
+
+StrikeReport Read(wire::EntryStrike::Reader from) {
+  return {Fingerprint{from.getFingerprint()}, CrashId{from.getCrash()},
+          from.getCleared(), milliseconds(from.getAgeMs()),
+          milliseconds(from.getLastSeenAgeMs())};
+}
+
+void WriteLists(wire::EntryMessage::Builder to, const EntryMessage& from) {
+  auto demand = to.initDemand(static_cast<unsigned>(from.demand.size()));
+  unsigned index = 0;
+  for (const CopyDemand& entry : from.demand) {
+    auto row = demand[index++];
+    Write(row.initCopy(), entry.copy);
+    row.setRequests(static_cast<std::uint32_t>(entry.requests));
+    row.setWorkMs(ToMs(entry.work));
+  }
+  auto wanted = to.initWanted(static_cast<unsigned>(from.wanted.size()));
+  index = 0;
+  for (const ServiceCopy& copy : from.wanted) {
+    Write(wanted[index++], copy);
+  }
+  auto inventories =
+      to.initInventories(static_cast<unsigned>(from.inventories.size()));
+  index = 0;
+  for (const TargetInventory& entry : from.inventories) {
+    Write(inventories[index++], entry);
+  }
+  auto strikes = to.initStrikes(static_cast<unsigned>(from.strikes.size()));
+  index = 0;
+  for (const StrikeReport& strike : from.strikes) {
+    Write(strikes[index++], strike);
+  }
+}
+
+EntryMessage Read(wire::EntryMessage::Reader from) {
+  EntryMessage read;
+  read.host = HostId(Text(from.getHost()));
+  read.instance = InstanceId{from.getInstance()};
+  read.sequence = from.getSequence();
+  read.config = ConfigVersion{from.getConfigVersion()};
+  if (from.getLease() > 0) {
+    read.lease = LogOffset{from.getLease() - 1};
+  }
+  for (const auto row : from.getDemand()) {
+    read.demand.push_back({Read(row.getCopy()),
+                           static_cast<double>(row.getRequests()),
+                           milliseconds(row.getWorkMs())});
+  }
+  for (const auto copy : from.getWanted()) {
+    read.wanted.push_back(Read(copy));
+  }
+  for (const auto entry : from.getInventories()) {
+    read.inventories.push_back(Read(entry));
+  }
+  for (const auto strike : from.getStrikes()) {
+    read.strikes.push_back(Read(strike));
+  }
+  return read;
+}
+
+}  // namespace
+
+std::string Encode(const EntryMessage& message) {
+  capnp::MallocMessageBuilder builder;
+  auto root = builder.initRoot<wire::EntryMessage>();
+  root.setHost(message.host.value);
+  root.setInstance(message.instance.value);
+  root.setSequence(message.sequence);
+  root.setConfigVersion(message.config.value);
+  root.setLease(message.lease ? message.lease->value + 1 : 0);
+  WriteLists(root, message);
+  kj::VectorOutputStream out;
+  capnp::writePackedMessage(out, builder);
+  const auto bytes = out.getArray();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+std::optional<EntryMessage> DecodeEntryMessage(std::span<const char> bytes) {
+  try {
+    kj::ArrayInputStream in(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxWords;
+    capnp::PackedMessageReader reader(in, options);
+    return Read(reader.getRoot<wire::EntryMessage>());
+  } catch (const kj::Exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/gateway/fiber_loop.h
@@ -0,0 +1,125 @@
+#ifndef SRC_GATEWAY_FIBER_LOOP_H_
+#define SRC_GATEWAY_FIBER_LOOP_H_
+
+#include <boost/asio/basic_datagram_socket.hpp>
+#include <boost/asio/basic_socket_acceptor.hpp>
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/pooled_fixedsize_stack.hpp>
+#include <boost/system/error_code.hpp>
+#include <functional>
+#include <memory>
+
+#include "pimentospar/clock.h"
+
+namespace pimentospar {
+
+// Sockets of a known executor need no type erasure.
+using Executor = boost::asio::io_context::executor_type;
+using Tcp = boost::asio::ip::tcp;
+using TcpSocket = boost::asio::basic_stream_socket<Tcp, Executor>;
+using TcpAcceptor = boost::asio::basic_socket_acceptor<Tcp, Executor>;
+using UdpSocket =
+    boost::asio::basic_datagram_socket<boost::asio::ip::udp, Executor>;
+using boost::system::error_code;
+
+/// Runs fibers and an event loop on the calling thread: while no fiber is
+/// ready, the thread waits for events.
+///
+/// One thread for both, unlike the daemon's threads and rings: a host of the
+/// platform has a fifth of a core, and each hop between threads costs two
+/// wake-ups.
+class FiberLoop {
+ public:
+  /// Makes this loop the scheduler of the calling thread; once for each thread.
+  FiberLoop();
+  FiberLoop(const FiberLoop&) = delete;
+  FiberLoop& operator=(const FiberLoop&) = delete;
+
+  [[nodiscard]] boost::asio::io_context& Context() { return *this->context; }
+
+  /// Starts a detached fiber.
+  void Spawn(std::function<void()> body);
+
+ private:
+  /// Shared with the scheduler, which ends with the thread.
+  std::shared_ptr<boost::asio::io_context> context;
+  boost::fibers::pooled_fixedsize_stack stacks;
+};
+
+/// Result of an operation of the event loop.
+struct IoResult {
+  error_code error;
+  std::size_t bytes = 0;
+  [[nodiscard]] bool IsGood() const { return !this->error; }
+};
+
+namespace detail {
+
+struct Awaited {
+  IoResult result;
+  bool done = false;
+  boost::fibers::context* waiter = nullptr;
+
+  void Finish(error_code error, std::size_t bytes) {
+    this->result = {error, bytes};
+    this->done = true;
+    if (this->waiter != nullptr) {
+      boost::fibers::context::active()->schedule(this->waiter);
+    }
+  }
+
+  void Wait() {
+    if (this->done) {
+      return;
+    }
+    this->waiter = boost::fibers::context::active();
+    this->waiter->suspend();
+  }
+};
+
+}  // namespace detail
+
+/// Starts an operation with a completion handler and suspends the fiber until
+/// the handler is called.
+///
+///     IoResult sent = Await([&](auto handler) {
+///       boost::asio::async_write(socket, buffer, std::move(handler));
+///     });
+template <typename Start>
+IoResult Await(Start&& start) {
+  detail::Awaited awaited;
+  start([&awaited](error_code error, std::size_t bytes = 0) {
+    awaited.Finish(error, bytes);
+  });
+  awaited.Wait();
+  return awaited.result;
+}
+
+/// Wakes fibers that wait for a change.
+class FiberSignal {
+ public:
+  void NotifyAll() {
+    ++this->changes;
+    this->condition.notify_all();
+  }
+  /// Returns false if nothing changed in time.
+  bool WaitUntil(std::chrono::steady_clock::time_point time);
+  bool WaitFor(Duration duration) {
+    return this->WaitUntil(std::chrono::steady_clock::now() + duration);
+  }
+
+ private:
+  boost::fibers::mutex mutex;
+  boost::fibers::condition_variable condition;
+  std::uint64_t changes = 0;
+};
+
+}  // namespace pimentospar
+
+#endif  // SRC_GATEWAY_FIBER_LOOP_H_
--- /dev/null
+++ b/src/gateway/front.cc
@@ -0,0 +1,188 @@
+#include "gateway/front.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include "net/log_line.h"
+
+namespace pimentospar {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int kUserTimeoutMs = 5000;
+constexpr int kBacklog = 1024;
+// Pause after a failed accept, for example without free descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{20};
+// The idle time that the configuration names is the caller's; the gateway
+// waits a little longer, so that no request crosses its close.
+constexpr std::chrono::milliseconds kIdleGrace{1000};
+
+unsigned StatusOf(const error_code& error) {
+  if (error == http::error::header_limit) {
+    return static_cast<unsigned>(http::status::request_header_fields_too_large);
+  }
+  if (error == http::error::body_limit) {
+    return static_cast<unsigned>(http::status::payload_too_large);
+  }
+  return static_cast<unsigned>(http::status::bad_request);
+}
+
+}  // namespace
+
+struct Front::Connection {
+  explicit Connection(boost::asio::io_context& context) : socket(context) {}
+
+  TcpSocket socket;
+  boost::beast::flat_buffer buffer;
+};
+
+Front::Front(FiberLoop& loop,
+             Alarms& alarms,
+             const Tcp::endpoint& address,
+             CallerHandler handler)
+    : loop(loop),
+      alarms(alarms),
+      acceptor(loop.Context()),
+      handler(std::move(handler)) {
+  this->acceptor.open(address.protocol());
+  this->acceptor.set_option(TcpAcceptor::reuse_address(true));
+  this->acceptor.bind(address);
+  this->acceptor.listen(kBacklog);
+}
+
+Tcp::endpoint Front::LocalAddress() const {
+  return this->acceptor.local_endpoint();
+}
+
+void Front::Start() {
+  this->loop.Spawn([this] { this->Accept(); });
+}
+
+void Front::Accept() {
+  while (this->acceptor.is_open()) {
+    auto connection = std::make_shared<Connection>(this->loop.Context());
+    const IoResult accepted = Await([&](auto handler) {
+      this->acceptor.async_accept(connection->socket, std::move(handler));
+    });
+    if (!accepted.IsGood()) {
+      LogWarning("accept_failed", {{"error", accepted.error.message()}});
+      boost::this_fiber::sleep_for(kAcceptPause);
+      continue;
+    }
+    error_code ignored;
+    connection->socket.set_option(Tcp::no_delay(true), ignored);
+    setsockopt(connection->socket.native_handle(), IPPROTO_TCP,
+               TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof kUserTimeoutMs);
+    this->loop.Spawn([this, connection] { this->Serve(connection); });
+  }
+}
+
+void Front::Serve(const std::shared_ptr<Connection>& connection) {
+  while (this->ServeNext(*connection)) {
+  }
+  error_code ignored;
+  connection->socket.shutdown(TcpSocket::shutdown_both, ignored);
+  connection->socket.close(ignored);
+}
+
+error_code Front::ReadRequest(Connection& connection, Parser& parser) {
+  TcpSocket& socket = connection.socket;
+  const auto close = [&socket] {
+    error_code ignored;
+    socket.close(ignored);
+  };
+  if (connection.buffer.size() == 0) {
+    this->idle.insert(&connection);
+    const Alarm limit(this->alarms, this->limits.idle_time + kIdleGrace, close);
+    const IoResult ready = Await([&](auto handler) {
+      socket.async_wait(TcpSocket::wait_read, std::move(handler));
+    });
+    this->idle.erase(&connection);
+    if (!ready.IsGood()) {
+      return ready.error;
+    }
+  }
+  {
+    const Alarm limit(this->alarms, this->limits.header_time, close);
+    const IoResult head = Await([&](auto handler) {
+      http::async_read_header(socket, connection.buffer, parser,
+                              std::move(handler));
+    });
+    if (!head.IsGood() || parser.is_done()) {
+      return head.error;
+    }
+  }
+  if (boost::beast::iequals(parser.get()[http::field::expect],
+                            "100-continue")) {
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    const IoResult sent = Await([&](auto handler) {
+      boost::asio::async_write(
+          socket, boost::asio::buffer(kContinue.data(), kContinue.size()),
+          std::move(handler));
+    });
+    if (!sent.IsGood()) {
+      return sent.error;
+    }
+  }
+  const Alarm limit(this->alarms, this->limits.idle_time, close);
+  return Await([&](auto handler) {
+           http::async_read(socket, connection.buffer, parser,
+                            std::move(handler));
+         })
+      .error;
+}
+
+bool Front::ServeNext(Connection& connection) {
+  Parser parser;
+  parser.header_limit(this->limits.header_bytes);
+  parser.body_limit(this->limits.body_bytes);
+  const error_code error = this->ReadRequest(connection, parser);
+  if (!error) {
+    return this->Answer(connection, parser);
+  }
+  if (error.category() == error_code(http::error::bad_method).category() &&
+      error != http::error::end_of_stream &&
+      error != http::error::partial_message) {
+    this->Refuse(connection, error);
+  }
+  return false;
+}
+
+bool Front::Answer(Connection& connection, Parser& parser) {
+  CallerRequest request{parser.release(), std::chrono::steady_clock::now(),
+                        false};
+  request.close_after = this->draining || !request.message.keep_alive();
+  ++this->in_flight;
+  bool usable = false;
+  {
+    CallerChannel channel(connection.socket, this->alarms,
+                          this->limits.idle_time);
+    usable = this->handler(request, channel) && !channel.IsGone();
+  }
+  --this->in_flight;
+  return usable && !request.close_after;
+}
+
+void Front::Refuse(Connection& connection, const error_code& error) {
+  const std::string answer = StatusLine(StatusOf(error)) +
+                             "Content-Length: 0\r\nConnection: close\r\n\r\n";
+  LogWarning("request_malformed", {{"error", error.message()}});
+  CallerChannel channel(connection.socket, this->alarms,
+                        this->limits.header_time);
+  (void)channel.SendWhole(answer, {});
+}
+
+void Front::CloseIdle() {
+  for (Connection* connection : this->idle) {
+    error_code ignored;
+    connection->socket.close(ignored);
+  }
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,431 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <boost/beast/http/status.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <set>
+
+#include "net/log_line.h"
+
+namespace pimentospar {
+
+namespace {
+
+constexpr std::string_view kEntryStream = "keyed.entries";
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+
+// Registrations change with each heartbeat, so a long read would end at once.
+constexpr std::chrono::milliseconds kTargetPause{900};
+constexpr std::chrono::milliseconds kConfigWait{2000};
+constexpr std::chrono::milliseconds kEntryWait{5000};
+constexpr std::chrono::milliseconds kHeartbeat{1000};
+// Demand is told this often; a copy that requests wait for, at once and again.
+constexpr std::chrono::milliseconds kTalkStep{150};
+// The balancer takes a host out after two misses a second apart.
+constexpr std::chrono::milliseconds kBalancerLag{2300};
+// Left for the end of the process before it is killed.
+constexpr std::chrono::milliseconds kExitReserve{700};
+constexpr std::chrono::milliseconds kDrainStep{50};
+constexpr std::chrono::milliseconds kRenewEvery{1000};
+constexpr std::chrono::milliseconds kAppendTimeout{1000};
+constexpr std::chrono::milliseconds kAcquireSpread{300};
+
+LeaseDutyOptions LeaseOptionsOf(const GatewaySettings& settings) {
+  LeaseDutyOptions options;
+  options.lease.duration = settings.lease_time;
+  options.lease.renew_every = kRenewEvery;
+  options.lease.append_timeout = kAppendTimeout;
+  options.lease.acquire_spread = kAcquireSpread;
+  return options;
+}
+
+TargetBoardOptions BoardOptionsOf(const GatewaySettings& settings) {
+  TargetBoardOptions options;
+  options.region = settings.region;
+  options.data_centre = settings.data_centre;
+  return options;
+}
+
+std::optional<UdpEndpoint> ParseUdp(std::string_view text) {
+  const auto endpoint = ParseEndpoint(text);
+  if (!endpoint) {
+    return std::nullopt;
+  }
+  return UdpEndpoint(endpoint->address(), endpoint->port());
+}
+
+std::string ToText(const UdpEndpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+}  // namespace
+
+Gateway::Gateway(FiberLoop& loop,
+                 Alarms& alarms,
+                 UpstreamPool& pool,
+                 const Clock& clock,
+                 RandomSource& random,
+                 const GatewaySettings& settings,
+                 const GatewayPlatform& platform)
+    : loop(loop),
+      clock(clock),
+      random(random),
+      settings(settings),
+      platform(platform),
+      instance{random.Next()},
+      board(clock, random, BoardOptionsOf(settings)),
+      retries(clock, settings.retries),
+      config_follower(
+          loop,
+          clock,
+          random,
+          platform.log,
+          {std::string(platform.registry.ConfigStream()), kConfigWait, {}},
+          {[this](const auto& all) {
+             for (const KeyedItem& item : all) {
+               this->OnConfig(item);
+             }
+           },
+           [this](const KeyedItem& item) { this->OnConfig(item); },
+           {}}),
+      target_follower(
+          loop,
+          clock,
+          random,
+          platform.log,
+          {std::string(platform.registry.TargetStream()), {}, kTargetPause},
+          {[this](const auto& all) { this->OnTargets(all); },
+           [this](const KeyedItem& item) { this->OnTarget(item); },
+           [this] { this->targets_regained_at = this->clock.Now(); }}),
+      entry_follower(loop,
+                     clock,
+                     random,
+                     platform.log,
+                     {std::string(kEntryStream), kEntryWait, {}},
+                     {[this](const auto& all) { this->OnEntries(all); },
+                      [this](const KeyedItem& item) { this->OnEntry(item); },
+                      {}}),
+      link(loop,
+           clock,
+           settings.entry_address,
+           settings.host,
+           this->instance,
+           [this](const EntryMessage& message) { this->OnMessage(message); }),
+      lease(loop,
+            clock,
+            random,
+            this->instance,
+            platform.log,
+            LeaseOptionsOf(settings)),
+      orders(loop,
+             clock,
+             this->lease,
+             this->board,
+             this->board_changed,
+             platform.control,
+             this->metrics,
+             [this](std::vector<TargetInventory> inventories) {
+               this->Announce(std::move(inventories));
+             }),
+      relay_parts{clock,
+                  random,
+                  alarms,
+                  pool,
+                  platform.protocol,
+                  this->board,
+                  this->board_changed,
+                  this->retries,
+                  this->interest,
+                  this->metrics,
+                  [this] { return this->routes; },
+                  [this] { return this->link.Count(); }},
+      front(loop,
+            alarms,
+            settings.caller_address,
+            [this](CallerRequest& request, CallerChannel& channel) {
+              return this->OnCaller(request, channel);
+            }),
+      ready(loop,
+            alarms,
+            settings.ready_address,
+            [this](CallerRequest& request, CallerChannel& channel) {
+              return Respond(request, channel,
+                             this->IsReady() ? kOk : kUnavailable, "");
+            }),
+      operators(loop,
+                alarms,
+                settings.operator_address,
+                [this](CallerRequest& request, CallerChannel& channel) {
+                  return Respond(request, channel, kOk, this->metrics.Render());
+                }) {}
+
+void Gateway::Start() {
+  this->config_follower.Start();
+  this->target_follower.Start();
+  this->entry_follower.Start();
+  this->link.Start();
+  this->lease.Start();
+  this->orders.Start();
+  this->ready.Start();
+  this->operators.Start();
+  this->front.Start();
+  this->loop.Spawn([this] { this->Talk(); });
+}
+
+bool Gateway::IsReady() const {
+  return !this->draining && this->routes != nullptr &&
+         this->target_follower.HasAll();
+}
+
+void Gateway::Drain() {
+  const TimePoint start = this->clock.Now();
+  this->draining = true;
+  this->front.BeginDrain();
+  this->lease.StopTaking();
+  this->loop.Spawn([this] { this->Unregister(); });
+  LogInfo("drain_started", {{"in_flight", this->front.InFlight()}});
+  const Duration limit = this->settings.grace_time - kExitReserve;
+  while (this->clock.Now() - start < limit) {
+    boost::this_fiber::sleep_for(kDrainStep);
+    if (this->clock.Now() - start < kBalancerLag) {
+      continue;
+    }
+    this->front.CloseIdle();
+    if (this->front.InFlight() == 0) {
+      break;
+    }
+  }
+  LogInfo("drain_ended", {{"in_flight", this->front.InFlight()}});
+}
+
+bool Gateway::OnCaller(CallerRequest& request, CallerChannel& channel) {
+  request.close_after = request.close_after || this->draining;
+  return Relay(this->relay_parts, request, channel).Run();
+}
+
+bool Gateway::Respond(CallerRequest& request,
+                      CallerChannel& channel,
+                      unsigned status,
+                      std::string_view body) {
+  std::string head = StatusLine(status);
+  head += "Content-Type: text/plain\r\nContent-Length: " +
+          std::to_string(body.size()) + "\r\n";
+  if (request.close_after) {
+    head += "Connection: close\r\n";
+  }
+  head += "\r\n";
+  return channel.SendWhole(head, body);
+}
+
+void Gateway::OnConfig(const KeyedItem& item) {
+  if (item.key != this->platform.registry.ConfigKey() || !item.value) {
+    return;
+  }
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(config,
+                        this->platform.registry.ReadConfig(*item.value));
+        if (this->routes != nullptr &&
+            config.version <= this->routes->Config().version) {
+          return {};
+        }
+        const CallerLimits limits = config.limits;
+        this->routes = std::make_shared<const RouteTable>(std::move(config));
+        this->front.SetLimits(limits);
+        this->orders.OnRoutes(this->routes);
+        this->metrics.Count(Event::kConfigApplied);
+        LogInfo("config_applied",
+                {{"version", this->routes->Config().version.value},
+                 {"offset", item.offset.value},
+                 {"routes", this->routes->Config().routes.size()}});
+        return {};
+      },
+      [&](const FormatError& error) {
+        LogError("config_unreadable",
+                 {{"offset", item.offset.value}, {"error", error.detail}});
+      },
+      [&] {
+        LogError("config_unreadable", {{"offset", item.offset.value}});
+      });
+}
+
+void Gateway::OnTargets(const std::vector<KeyedItem>& all) {
+  std::set<std::string> listed;
+  for (const KeyedItem& item : all) {
+    listed.insert(item.key);
+    this->OnTarget(item);
+  }
+  for (const TargetDescription& target : this->board.Targets()) {
+    if (!listed.contains(target.id.value)) {
+      this->OnTarget({target.id.value, std::nullopt, {}});
+    }
+  }
+}
+
+void Gateway::OnTarget(const KeyedItem& item) {
+  const TargetId id(item.key);
+  if (!item.value) {
+    const TimePoint now = this->clock.Now();
+    // While the log was away, registrations of living targets lapse too.
+    const TimePoint gone_at =
+        std::max(now, this->targets_regained_at +
+                          (this->targets_regained_at == TimePoint{}
+                               ? Duration(0)
+                               : Duration(this->settings.registration_return)));
+    LogInfo(
+        "target_removed",
+        {{"target", item.key},
+         {"gone_in_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(gone_at - now)
+              .count()}});
+    this->board.OnRemoved(id, gone_at);
+    return;
+  }
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(target,
+                        this->platform.registry.ReadTarget(id, *item.value));
+        const TargetDescription* known = this->board.Find(id);
+        if (known == nullptr || known->draining != target.draining ||
+            known->inventory.started != target.inventory.started) {
+          LogInfo("target_known", {{"target", item.key},
+                                   {"service", target.service.value},
+                                   {"draining", target.draining ? 1 : 0},
+                                   {"started", target.inventory.started},
+                                   {"offset", item.offset.value}});
+        }
+        this->board.OnTarget(target);
+        this->board_changed.NotifyAll();
+        return {};
+      },
+      [&](const FormatError& error) {
+        LogWarning("target_unreadable",
+                   {{"target", item.key}, {"error", error.detail}});
+        this->board.OnRemoved(id, this->clock.Now());
+      },
+      [&] {
+        LogWarning("target_unreadable", {{"target", item.key}});
+      });
+}
+
+void Gateway::OnEntries(const std::vector<KeyedItem>& all) {
+  bool listed = false;
+  for (const KeyedItem& item : all) {
+    listed = listed || (item.key == this->settings.host.value &&
+                        item.value == ToText(this->link.LocalAddress()));
+    this->OnEntry(item);
+  }
+  if (!listed && !this->draining) {
+    this->loop.Spawn([this] { this->Register(); });
+  }
+}
+
+void Gateway::OnEntry(const KeyedItem& item) {
+  const HostId host(item.key);
+  const auto address =
+      item.value ? ParseUdp(*item.value) : std::optional<UdpEndpoint>();
+  if (address) {
+    this->link.OnEntry(host, *address);
+  } else {
+    this->link.OnEntryGone(host);
+  }
+}
+
+void Gateway::Register() {
+  constexpr std::chrono::milliseconds kPause{500};
+  const std::string address = ToText(this->link.LocalAddress());
+  while (!this->draining &&
+         this->platform.log.AppendKeyed(kEntryStream, this->settings.host.value,
+                                        address) != LogStatus::kDone) {
+    LogWarning("register_failed", {{"address", address}});
+    boost::this_fiber::sleep_for(kPause);
+  }
+}
+
+void Gateway::Unregister() {
+  const LogStatus status = this->platform.log.AppendKeyed(
+      kEntryStream, this->settings.host.value, std::nullopt);
+  if (status != LogStatus::kDone) {
+    LogWarning("unregister_failed", {{"status", ToString(status)}});
+  }
+}
+
+void Gateway::Talk() {
+  TimePoint next_heartbeat = this->clock.Now();
+  while (true) {
+    (void)this->interest.Asked().WaitFor(kTalkStep);
+    this->TellPlanner();
+    if (this->clock.Now() < next_heartbeat) {
+      continue;
+    }
+    next_heartbeat = this->clock.Now() + kHeartbeat;
+    this->Announce({});
+  }
+}
+
+void Gateway::TellPlanner() {
+  EntryMessage message;
+  message.demand = this->interest.TakeDemand();
+  message.wanted = this->interest.Wanted();
+  if (this->lease.Held()) {
+    for (const CopyDemand& demand : message.demand) {
+      this->orders.OnDemand(demand);
+    }
+    for (const ServiceCopy& copy : message.wanted) {
+      this->orders.OnWanted(copy);
+    }
+    return;
+  }
+  const auto planner = this->link.Planner();
+  if (planner && (!message.demand.empty() || !message.wanted.empty())) {
+    this->link.Send(*planner, std::move(message));
+  }
+}
+
+void Gateway::Announce(std::vector<TargetInventory> inventories) {
+  EntryMessage message;
+  message.inventories = std::move(inventories);
+  message.lease = this->lease.Held();
+  message.config = this->routes == nullptr ? ConfigVersion{}
+                                           : this->routes->Config().version;
+  this->link.SendAll(std::move(message));
+}
+
+void Gateway::OnMessage(const EntryMessage& message) {
+  for (const TargetInventory& entry : message.inventories) {
+    this->board.OnInventory(entry.target, entry.inventory,
+                            InventorySource::kPlanner);
+  }
+  if (!message.inventories.empty()) {
+    this->board_changed.NotifyAll();
+  }
+  if (!this->lease.Held()) {
+    return;
+  }
+  for (const CopyDemand& demand : message.demand) {
+    this->orders.OnDemand(demand);
+  }
+  for (const ServiceCopy& copy : message.wanted) {
+    this->orders.OnWanted(copy);
+    this->AnswerWanted(message.host, copy);
+  }
+}
+
+// Tells an entry again which targets hold a copy, in case it missed it.
+void Gateway::AnswerWanted(const HostId& host, const ServiceCopy& copy) {
+  EntryMessage answer;
+  answer.lease = this->lease.Held();
+  for (const TargetDescription& target : this->board.Targets()) {
+    if (target.service == copy.service && !target.draining &&
+        Holds(target.inventory, copy.copy)) {
+      answer.inventories.push_back({target.id, target.inventory});
+    }
+  }
+  if (!answer.inventories.empty()) {
+    this->link.Send(host, std::move(answer));
+  }
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/gateway/http_call.cc
@@ -0,0 +1,53 @@
+#include "gateway/http_call.h"
+
+namespace pimentospar {
+
+std::optional<HttpAnswer> HttpCaller::CallOver(
+    std::unique_ptr<UpstreamConnection> connection,
+    const HttpCall& call,
+    Duration limit) {
+  if (connection == nullptr) {
+    return std::nullopt;
+  }
+  Exchange exchange(std::move(connection), false);
+  const Alarm alarm(this->alarms, limit, [&exchange] { exchange.Cancel(); });
+  std::string head = call.method + " " + call.path +
+                     " HTTP/1.1\r\nHost: " + call.address + "\r\n" +
+                     call.headers;
+  if (!call.body.empty() || call.method != "GET") {
+    head += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+  }
+  head += "\r\n";
+  exchange.Send(std::move(head),
+                std::make_shared<const std::string>(call.body));
+  if (!exchange.ReadHead()) {
+    return std::nullopt;
+  }
+  HttpAnswer answer{exchange.GetHead().result_int(), {}};
+  std::string_view data;
+  BodyPart part = exchange.ReadBody(data);
+  while (part == BodyPart::kData) {
+    answer.body += data;
+    part = exchange.ReadBody(data);
+  }
+  if (part == BodyPart::kBroken) {
+    return std::nullopt;
+  }
+  exchange.Release(this->pool);
+  return answer;
+}
+
+std::optional<HttpAnswer> HttpCaller::Call(const HttpCall& call,
+                                           Duration limit) {
+  const auto start = std::chrono::steady_clock::now();
+  if (auto idle = this->pool.TakeIdle(call.address)) {
+    auto answer = this->CallOver(std::move(idle), call, limit);
+    const bool timed_out = std::chrono::steady_clock::now() - start >= limit;
+    if (answer || call.method != "GET" || timed_out) {
+      return answer;
+    }
+  }
+  return this->CallOver(this->pool.Connect(call.address), call, limit);
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/gateway/lease_duty.cc
@@ -0,0 +1,167 @@
+#include "gateway/lease_duty.h"
+
+#include <boost/fiber/operations.hpp>
+#include <boost/json.hpp>
+
+#include "net/log_line.h"
+
+namespace pimentospar {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds kFailurePause{250};
+// The holder looks this often whether a renewal is due.
+constexpr std::chrono::milliseconds kHolderStep{100};
+
+struct RecordWriter {
+  json::object operator()(const AppendLease& lease) const {
+    json::object record{
+        {"type", "lease"},
+        {"id", lease.id.value},
+        {"instance", lease.instance.value},
+        {"duration_ms",
+         std::chrono::duration_cast<std::chrono::milliseconds>(lease.duration)
+             .count()}};
+    if (lease.previous) {
+      record["previous"] = lease.previous->value;
+    }
+    return record;
+  }
+  json::object operator()(const AppendRenew& renew) const {
+    return {{"type", "renew"},
+            {"id", renew.id.value},
+            {"lease", renew.lease.value}};
+  }
+};
+
+LeaseRecord ReadLease(const json::object& record, LogOffset offset) {
+  LeaseRecord lease;
+  lease.offset = offset;
+  lease.id = PlanRecordId(json::value_to<std::string>(record.at("id")));
+  lease.instance = InstanceId{record.at("instance").to_number<std::uint64_t>()};
+  lease.duration = std::chrono::milliseconds(
+      record.at("duration_ms").to_number<std::int64_t>());
+  if (const json::value* previous = record.if_contains("previous")) {
+    lease.previous = LogOffset{previous->to_number<std::uint64_t>()};
+  }
+  return lease;
+}
+
+}  // namespace
+
+LeaseDuty::LeaseDuty(FiberLoop& loop,
+                     const Clock& clock,
+                     RandomSource& random,
+                     InstanceId instance,
+                     SharedLog& log,
+                     const LeaseDutyOptions& options)
+    : loop(loop),
+      clock(clock),
+      random(random),
+      log(log),
+      options(options),
+      lease(clock, random, instance, options.lease) {}
+
+void LeaseDuty::Start() {
+  this->loop.Spawn([this] { this->Run(); });
+}
+
+void LeaseDuty::Run() {
+  while (true) {
+    const bool acted = this->Act();
+    const bool held = this->lease.Held().has_value();
+    this->LogChange();
+    if (held && !acted) {
+      boost::this_fiber::sleep_for(kHolderStep);
+      continue;
+    }
+    const auto wait = acted ? std::chrono::milliseconds(0) : this->options.wait;
+    const LogStatus status = this->Read(wait);
+    if (status != LogStatus::kDone && status != LogStatus::kExpired) {
+      boost::this_fiber::sleep_for(
+          kFailurePause +
+          std::chrono::milliseconds(this->random.Below(kFailurePause.count())));
+    }
+  }
+}
+
+// Appends what is due; false if nothing is.
+bool LeaseDuty::Act() {
+  if (this->stopped && !this->lease.Held()) {
+    return false;
+  }
+  const auto action = this->lease.Step();
+  if (!action) {
+    return false;
+  }
+  const json::object record = std::visit(RecordWriter{}, *action);
+  const LogStatus status =
+      this->log.Append(this->options.stream, json::serialize(record));
+  if (status != LogStatus::kDone) {
+    LogWarning(
+        "lease_append_failed",
+        {{"status", ToString(status)},
+         {"type",
+          std::holds_alternative<AppendLease>(*action) ? "lease" : "renew"}});
+  }
+  return true;
+}
+
+LogStatus LeaseDuty::Read(std::chrono::milliseconds wait) {
+  const TimePoint started = this->clock.Now();
+  const LogRead read = this->log.Read(this->options.stream, this->next, wait);
+  if (read.status == LogStatus::kExpired) {
+    this->next = read.first;
+    return read.status;
+  }
+  if (read.status != LogStatus::kDone) {
+    return read.status;
+  }
+  for (const std::string& record : read.records) {
+    this->Feed(record, this->next);
+    ++this->next.value;
+  }
+  if (this->next >= read.end) {
+    this->lease.OnTail(started);
+  }
+  return read.status;
+}
+
+void LeaseDuty::Feed(std::string_view text, LogOffset offset) {
+  error_code error;
+  const json::value value = json::parse(text, error);
+  const json::object* record = value.if_object();
+  if (error || record == nullptr || !record->contains("type")) {
+    LogWarning("plan_record_unreadable", {{"offset", offset.value}});
+    return;
+  }
+  try {
+    if (record->at("type") == "lease") {
+      (void)this->lease.OnLease(ReadLease(*record, offset));
+    } else if (record->at("type") == "renew") {
+      this->lease.OnRenew(
+          {PlanRecordId(json::value_to<std::string>(record->at("id"))),
+           LogOffset{record->at("lease").to_number<std::uint64_t>()}});
+    }
+  } catch (const std::exception& failure) {
+    LogWarning("plan_record_unreadable",
+               {{"offset", offset.value}, {"error", failure.what()}});
+  }
+}
+
+void LeaseDuty::LogChange() {
+  const auto held = this->lease.Held();
+  if (held.has_value() == this->was_held) {
+    return;
+  }
+  this->was_held = held.has_value();
+  if (held) {
+    LogInfo("lease_gained", {{"lease", held->value}});
+  } else {
+    LogWarning("lease_lost", {{"next", this->next.value}});
+  }
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/gateway/order_duty.cc
@@ -0,0 +1,305 @@
+#include "gateway/order_duty.h"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+#include "net/log_line.h"
+
+namespace pimentospar {
+
+namespace {
+
+constexpr std::chrono::milliseconds kStep{100};
+// An adapter is usable this long after its order was accepted.
+constexpr std::chrono::milliseconds kAdapterLoad{12};
+constexpr std::chrono::milliseconds kReportStep{250};
+// An order that nothing is known of is looked at after this time.
+constexpr std::chrono::milliseconds kUnknownPause{300};
+// A load or an unload that takes longer is left to the next plan.
+constexpr std::chrono::seconds kLongestOrder{15};
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+void Remove(Inventory& inventory, const CopyRef& copy) {
+  if (copy.adapter.IsEmpty()) {
+    std::erase_if(inventory.models, [&](const LoadedModel& loaded) {
+      return loaded.model == copy.model;
+    });
+    return;
+  }
+  for (LoadedModel& loaded : inventory.models) {
+    if (loaded.model == copy.model) {
+      std::erase(loaded.adapters, copy.adapter);
+    }
+  }
+}
+
+void AddAdapter(Inventory& inventory, const CopyRef& copy) {
+  for (LoadedModel& loaded : inventory.models) {
+    if (loaded.model == copy.model &&
+        std::ranges::find(loaded.adapters, copy.adapter) ==
+            loaded.adapters.end()) {
+      loaded.adapters.push_back(copy.adapter);
+    }
+  }
+}
+
+}  // namespace
+
+std::string_view ToString(OrderAnswer answer) {
+  switch (answer) {
+    case OrderAnswer::kAccepted:
+      return "accepted";
+    case OrderAnswer::kHolds:
+      return "holds";
+    case OrderAnswer::kConflict:
+      return "conflict";
+    case OrderAnswer::kFenced:
+      return "fenced";
+    case OrderAnswer::kOtherTarget:
+      return "other_target";
+    case OrderAnswer::kRejected:
+      return "rejected";
+    case OrderAnswer::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
+OrderDuty::OrderDuty(FiberLoop& loop,
+                     const Clock& clock,
+                     LeaseDuty& lease,
+                     TargetBoard& board,
+                     FiberSignal& board_changed,
+                     TargetControl& control,
+                     Metrics& metrics,
+                     Announce announce)
+    : loop(loop),
+      clock(clock),
+      lease(lease),
+      board(board),
+      board_changed(board_changed),
+      control(control),
+      metrics(metrics),
+      announce(std::move(announce)),
+      planner(clock, {}) {}
+
+void OrderDuty::Start() {
+  this->loop.Spawn([this] { this->Run(); });
+}
+
+void OrderDuty::OnRoutes(std::shared_ptr<const RouteTable> routes) {
+  this->routes = std::move(routes);
+  this->planner.OnServices(this->routes->Config().services);
+}
+
+void OrderDuty::OnWanted(const ServiceCopy& copy) {
+  this->planner.OnWanted(copy);
+  if (this->active) {
+    this->due.NotifyAll();
+  }
+}
+
+void OrderDuty::Run() {
+  while (true) {
+    (void)this->due.WaitFor(kStep);
+    const auto held = this->lease.Held();
+    if (held != this->active) {
+      this->active = held;
+      this->planner.Reset();
+      this->read.clear();
+    }
+    if (this->active && this->routes != nullptr) {
+      this->Step();
+    }
+  }
+}
+
+std::vector<TargetDescription> OrderDuty::KnownEngines() {
+  std::vector<TargetDescription> known;
+  for (TargetDescription& target : this->board.Targets()) {
+    const ServiceSpec* service = this->routes->Find(target.service);
+    if (service == nullptr || !service->engine) {
+      continue;
+    }
+    const auto read = this->read.find(target.id);
+    if (read != this->read.end() && read->second == target.inventory.started) {
+      known.push_back(std::move(target));
+      continue;
+    }
+    if (!target.draining && this->reading.insert(target.id).second) {
+      this->loop.Spawn([this, id = target.id] {
+        (void)this->Refresh(id);
+        this->reading.erase(id);
+      });
+    }
+  }
+  return known;
+}
+
+void OrderDuty::Step() {
+  this->planner.OnTargets(this->KnownEngines());
+  for (const PlannedOrder& order : this->planner.Step()) {
+    this->loop.Spawn([this, order] { this->Execute(order); });
+  }
+  this->metrics.Count(Event::kPlanStep);
+}
+
+void OrderDuty::Execute(const PlannedOrder& order) {
+  const auto under = this->active;
+  const OrderEnd end = this->Give(order);
+  if (under == this->active) {
+    this->planner.OnOrderEnd(order.target, end);
+    this->due.NotifyAll();
+  }
+}
+
+OrderEnd OrderDuty::Give(const PlannedOrder& order) {
+  if (order.kind == OrderKind::kUnload) {
+    this->Withdraw(order);
+  }
+  const auto held = this->lease.Held();
+  const TargetDescription* found = this->board.Find(order.target);
+  if (!held || found == nullptr) {
+    return OrderEnd::kRefused;
+  }
+  const TargetDescription target = *found;
+  const TimePoint start = this->clock.Now();
+  const OrderAnswer answer = this->control.Give(
+      target, order, target.inventory.orders, FencingToken{held->value + 1});
+  this->metrics.Count(Event::kOrderSent);
+  LogInfo("order_given", {{"target", order.target.value},
+                          {"kind", ToString(order.kind)},
+                          {"copy", PrefixScope(order.copy).value},
+                          {"reason", ToString(order.reason)},
+                          {"after", target.inventory.orders},
+                          {"lease", held->value},
+                          {"answer", ToString(answer)},
+                          {"ms", Milliseconds(this->clock.Now() - start)}});
+  switch (answer) {
+    case OrderAnswer::kAccepted:
+      return this->Follow(order);
+    case OrderAnswer::kHolds:
+      if (order.kind == OrderKind::kUnload) {
+        return this->Follow(order);
+      }
+      return this->Refresh(order.target) ? OrderEnd::kDone : OrderEnd::kUnknown;
+    case OrderAnswer::kFenced:
+      this->lease.RequestNewLease();
+      return OrderEnd::kRefused;
+    case OrderAnswer::kConflict:
+    case OrderAnswer::kRejected:
+      (void)this->Refresh(order.target);
+      return OrderEnd::kRefused;
+    case OrderAnswer::kOtherTarget:
+      return OrderEnd::kRefused;
+    case OrderAnswer::kNoAnswer:
+      break;
+  }
+  this->metrics.Count(Event::kOrderUnknown);
+  boost::this_fiber::sleep_for(kUnknownPause);
+  (void)this->Refresh(order.target);
+  return OrderEnd::kUnknown;
+}
+
+OrderEnd OrderDuty::Follow(const PlannedOrder& order) {
+  if (order.copy.adapter.IsEmpty()) {
+    return this->AwaitModel(order);
+  }
+  const bool loads = order.kind == OrderKind::kLoad;
+  if (loads) {
+    boost::this_fiber::sleep_for(kAdapterLoad);
+  }
+  const TargetDescription* target = this->board.Find(order.target);
+  if (target == nullptr) {
+    return OrderEnd::kRefused;
+  }
+  Inventory inventory = target->inventory;
+  ++inventory.orders;
+  if (loads) {
+    AddAdapter(inventory, order.copy);
+  } else {
+    Remove(inventory, order.copy);
+  }
+  this->Publish(order.target, inventory);
+  return OrderEnd::kDone;
+}
+
+Duration OrderDuty::LoadTime(const PlannedOrder& order) const {
+  const TargetDescription* target = this->board.Find(order.target);
+  const ServiceSpec* service =
+      target == nullptr ? nullptr : this->routes->Find(target->service);
+  const ModelSpec* model = service == nullptr || !service->engine
+                               ? nullptr
+                               : service->engine->Find(order.copy.model);
+  if (model == nullptr || order.kind == OrderKind::kUnload ||
+      !order.from_store) {
+    return kReportStep;
+  }
+  return model->load_time;
+}
+
+// Reads the target's state until the order is complete.
+OrderEnd OrderDuty::AwaitModel(const PlannedOrder& order) {
+  const TimePoint limit = this->clock.Now() + kLongestOrder;
+  const bool loads = order.kind == OrderKind::kLoad;
+  boost::this_fiber::sleep_for(this->LoadTime(order));
+  while (this->clock.Now() < limit && this->lease.Held()) {
+    const TargetDescription* found = this->board.Find(order.target);
+    if (found == nullptr) {
+      return OrderEnd::kUnknown;
+    }
+    const TargetDescription target = *found;
+    const auto report = this->control.Report(target);
+    if (report && Holds(report->inventory, order.copy) == loads &&
+        !report->busy) {
+      this->metrics.Count(loads ? Event::kLoadDone : Event::kUnloadDone);
+      this->Publish(order.target, report->inventory);
+      return OrderEnd::kDone;
+    }
+    if (report && !report->busy &&
+        report->inventory.started != target.inventory.started) {
+      this->Publish(order.target, report->inventory);
+      return OrderEnd::kUnknown;
+    }
+    boost::this_fiber::sleep_for(kReportStep);
+  }
+  return OrderEnd::kUnknown;
+}
+
+bool OrderDuty::Refresh(const TargetId& target) {
+  const TargetDescription* found = this->board.Find(target);
+  if (found == nullptr) {
+    return false;
+  }
+  const TargetDescription description = *found;
+  const auto report = this->control.Report(description);
+  if (!report) {
+    return false;
+  }
+  this->board.OnLoad(target, report->load);
+  this->read[target] = report->inventory.started;
+  this->Publish(target, report->inventory);
+  return true;
+}
+
+void OrderDuty::Publish(const TargetId& target, const Inventory& inventory) {
+  this->board.OnInventory(target, inventory, InventorySource::kPlanner);
+  this->board_changed.NotifyAll();
+  this->announce({{target, inventory}});
+}
+
+void OrderDuty::Withdraw(const PlannedOrder& order) {
+  const TargetDescription* target = this->board.Find(order.target);
+  if (target == nullptr) {
+    return;
+  }
+  Inventory inventory = target->inventory;
+  Remove(inventory, order.copy);
+  this->Publish(order.target, inventory);
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/gateway/order_duty.h
@@ -0,0 +1,77 @@
+#ifndef SRC_GATEWAY_ORDER_DUTY_H_
+#define SRC_GATEWAY_ORDER_DUTY_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "gateway/entry_message.h"
+#include "gateway/fiber_loop.h"
+#include "gateway/lease_duty.h"
+#include "gateway/target_control.h"
+#include "net/metrics.h"
+#include "pimentospar/planning/copy_planner.h"
+#include "pimentospar/routing/route_table.h"
+
+namespace pimentospar {
+
+/// Plans and gives the orders while this process holds the planner's lease.
+class OrderDuty {
+ public:
+  /// Tells the other entries what targets hold now.
+  using Announce = std::function<void(std::vector<TargetInventory>)>;
+
+  OrderDuty(FiberLoop& loop,
+            const Clock& clock,
+            LeaseDuty& lease,
+            TargetBoard& board,
+            FiberSignal& board_changed,
+            TargetControl& control,
+            Metrics& metrics,
+            Announce announce);
+
+  void Start();
+  void OnRoutes(std::shared_ptr<const RouteTable> routes);
+  void OnDemand(const CopyDemand& demand) { this->planner.OnDemand(demand); }
+  /// A request here or at another entry waits for the copy.
+  void OnWanted(const ServiceCopy& copy);
+
+ private:
+  void Run();
+  /// Reads the state of engines that have started, or that a predecessor may
+  /// have changed; returns those whose state is known.
+  [[nodiscard]] std::vector<TargetDescription> KnownEngines();
+  void Step();
+  void Execute(const PlannedOrder& order);
+  [[nodiscard]] OrderEnd Give(const PlannedOrder& order);
+  [[nodiscard]] OrderEnd Follow(const PlannedOrder& order);
+  [[nodiscard]] OrderEnd AwaitModel(const PlannedOrder& order);
+  /// Reads and tells the state of a target; false if it does not answer.
+  bool Refresh(const TargetId& target);
+  void Publish(const TargetId& target, const Inventory& inventory);
+  /// Takes the copy from the inventory that all entries see.
+  void Withdraw(const PlannedOrder& order);
+  [[nodiscard]] Duration LoadTime(const PlannedOrder& order) const;
+
+  FiberLoop& loop;
+  const Clock& clock;
+  LeaseDuty& lease;
+  TargetBoard& board;
+  FiberSignal& board_changed;
+  TargetControl& control;
+  Metrics& metrics;
+  Announce announce;
+  CopyPlanner planner;
+  FiberSignal due;
+  std::shared_ptr<const RouteTable> routes;
+  std::optional<LogOffset> active;
+  /// Starts of engines whose state was read under the lease.
+  std::map<TargetId, std::int64_t> read;
+  std::set<TargetId> reading;
+};
+
+}  // namespace pimentospar
+
+#endif  // SRC_GATEWAY_ORDER_DUTY_H_
--- /dev/null
+++ b/src/gateway/registry_format.h
@@ -0,0 +1,41 @@
+#ifndef SRC_GATEWAY_REGISTRY_FORMAT_H_
+#define SRC_GATEWAY_REGISTRY_FORMAT_H_
+
+#include <boost/leaf/result.hpp>
+#include <string>
+#include <string_view>
+
+#include "pimentospar/routing/route_table.h"
+#include "pimentospar/routing/target_board.h"
+
+namespace pimentospar {
+
+namespace leaf = boost::leaf;
+
+/// Why a value of the platform's registry cannot be read.
+struct FormatError {
+  std::string detail;
+};
+
+/// How the platform writes the configuration and the registrations of targets
+/// on its log.
+class RegistryFormat {
+ public:
+  virtual ~RegistryFormat() = default;
+
+  [[nodiscard]] virtual std::string_view ConfigStream() const = 0;
+  [[nodiscard]] virtual std::string_view ConfigKey() const = 0;
+  [[nodiscard]] virtual std::string_view TargetStream() const = 0;
+
+  /// Fails with `FormatError`.
+  [[nodiscard]] virtual leaf::result<RoutingConfig> ReadConfig(
+      std::string_view value) const = 0;
+  /// Fails with `FormatError`.
+  [[nodiscard]] virtual leaf::result<TargetDescription> ReadTarget(
+      const TargetId& id,
+      std::string_view value) const = 0;
+};
+
+}  // namespace pimentospar
+
+#endif  // SRC_GATEWAY_REGISTRY_FORMAT_H_
--- /dev/null
+++ b/src/gateway/relay.cc
@@ -0,0 +1,633 @@
+#include "gateway/relay.h"
+
+#include <algorithm>
+#include <boost/beast/http/verb.hpp>
+
+#include "net/log_line.h"
+
+namespace pimentospar {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::uint32_t kMaxSends = 5;
+constexpr std::size_t kMaxTried = 8;
+// Less time than this gives no answer.
+constexpr std::chrono::milliseconds kShortestRun{20};
+// A waiting request looks again this often, although changes wake it.
+constexpr std::chrono::milliseconds kCopyPoll{100};
+// An adapter is loaded within milliseconds of the order; more than this means
+// that nobody gives orders.
+constexpr std::chrono::milliseconds kAdapterPatience{1500};
+constexpr std::chrono::milliseconds kModelPatience{4000};
+// Part of its time that a request may wait for a load.
+constexpr int kPatienceDivisor = 2;
+// A call or stream that may run twice is tried elsewhere after this time
+// without an answer, or a multiple of the expected one.
+constexpr std::chrono::milliseconds kCallSilence{300};
+constexpr std::chrono::milliseconds kStreamSilence{1500};
+constexpr int kSilenceFactor = 4;
+// A stream that may go on elsewhere does so after this time without an event.
+constexpr std::chrono::milliseconds kEventSilence{1500};
+constexpr std::chrono::milliseconds kRetrySoon{250};
+constexpr std::chrono::milliseconds kRetryAfterLoad{1000};
+// Time of an engine that each output token takes beside those of others.
+constexpr std::chrono::microseconds kTokenWork{600};
+constexpr std::uint32_t kTypicalOutput = 200;
+constexpr std::chrono::microseconds kPromptTokenWork{13};
+// One success in so many is logged; failures all are.
+constexpr std::uint64_t kSuccessSample = 16;
+
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kNotFoundStatus = 404;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+bool IsSuccess(unsigned status) {
+  return status >= 200 && status < 300;
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace
+
+Relay::Relay(RelayParts& parts, CallerRequest& request, CallerChannel& channel)
+    : parts(parts),
+      request(request),
+      channel(channel),
+      table(parts.routes()),
+      meta(parts.protocol.ReadRequest(request.message.base())),
+      received(parts.clock.Now()),
+      events(this->meta.last_event) {}
+
+Duration Relay::Left() const {
+  return this->deadline - this->parts.clock.Now();
+}
+
+bool Relay::FindRoute() {
+  const std::string_view target = this->request.message.target();
+  const std::string_view host = this->request.message[http::field::host];
+  this->route = this->table->Match(host, PathOf(target));
+  if (this->route == nullptr) {
+    return false;
+  }
+  const ServiceId* chosen =
+      ChooseService(*this->route, this->parts.random.Unit());
+  if (chosen == nullptr) {
+    return false;
+  }
+  this->service = *chosen;
+  this->deadline = this->received +
+                   std::min(this->meta.deadline.value_or(this->route->timeout),
+                            this->route->timeout);
+  return true;
+}
+
+bool Relay::Run() {
+  this->parts.metrics.Count(Event::kRequestStarted);
+  if (this->table == nullptr) {
+    return this->Refuse(kUnavailable, Reason::kNotReady, kRetrySoon);
+  }
+  if (!this->FindRoute()) {
+    return this->Refuse(kNotFoundStatus, Reason::kNotFound, std::nullopt);
+  }
+  this->parts.retries.OnRequest(this->service);
+  this->body = std::make_shared<const std::string>(
+      std::move(this->request.message.body()));
+  const auto cancel = [this] {
+    if (this->current != nullptr) {
+      this->current->Cancel();
+    }
+  };
+  this->channel.Watch(cancel);
+  const Alarm limit(this->parts.alarms, this->Left(), cancel);
+  End end = End::kUnsent;
+  Reason reason = Reason::kNoTarget;
+  while (true) {
+    Attempt attempt;
+    if (auto chosen = this->Choose()) {
+      attempt.target = std::move(*chosen);
+    } else {
+      return this->Finish(end, reason);
+    }
+    if (this->channel.IsGone()) {
+      return this->Finish(End::kCallerGone, Reason::kCallerGone);
+    }
+    end = this->Try(attempt);
+    reason = attempt.reason;
+    this->OnAttemptEnd(attempt, end);
+    if (end == End::kDelivered) {
+      this->LogEnd("answered", attempt.exchange->GetHead().result_int(),
+                   Reason::kNone);
+      return true;
+    }
+    if (!this->MayRepeat(end, reason)) {
+      return this->Finish(end, reason);
+    }
+    this->parts.metrics.CountRetry(reason);
+  }
+}
+
+TargetQuery Relay::Query() const {
+  TargetQuery query;
+  query.service = this->service;
+  const ServiceSpec* spec = this->table->Find(this->service);
+  if (spec != nullptr && spec->engine) {
+    query.copy = this->meta.copy;
+  }
+  query.prompt_tokens = this->meta.prompt_tokens;
+  query.prefix = this->meta.prefix;
+  query.tried = this->tried;
+  query.repeatable = this->route->IsRepeatable();
+  return query;
+}
+
+void Relay::CountInterest(const TargetQuery& query) {
+  if (this->counted || query.copy.model.IsEmpty()) {
+    return;
+  }
+  this->counted = true;
+  const std::uint32_t output = std::min(this->meta.max_tokens, kTypicalOutput);
+  const std::uint32_t shared =
+      query.prefix.empty() ? 0 : query.prefix.back().tokens;
+  const std::uint32_t own =
+      query.prompt_tokens - std::min(shared, query.prompt_tokens);
+  const Duration work =
+      own * Duration(kPromptTokenWork) + output * Duration(kTokenWork);
+  this->parts.interest.OnRequest({this->service, {query.copy.model, {}}}, work);
+  if (!query.copy.adapter.IsEmpty()) {
+    this->parts.interest.OnRequest({this->service, query.copy}, Duration(0));
+  }
+}
+
+std::optional<ChosenTarget> Relay::Choose() {
+  while (!this->channel.IsGone() && this->Left() > kShortestRun) {
+    const TargetQuery query = this->Query();
+    this->CountInterest(query);
+    BoardChoice choice = this->parts.board.Choose(query);
+    if (auto* chosen = std::get_if<ChosenTarget>(&choice)) {
+      return std::move(*chosen);
+    }
+    const auto* missing = std::get_if<NeedsCopy>(&choice);
+    if (missing == nullptr || !this->AwaitCopy(missing->model_loaded)) {
+      return std::nullopt;
+    }
+  }
+  return std::nullopt;
+}
+
+Duration Relay::Patience(bool model_loaded) const {
+  const Duration limit = model_loaded ? kAdapterPatience : kModelPatience;
+  return std::min(limit, (this->deadline - this->received) / kPatienceDivisor);
+}
+
+// Waits for the next change of what the targets hold; false if the request
+// should not wait any longer.
+bool Relay::AwaitCopy(bool model_loaded) {
+  const TimePoint until = this->received + this->Patience(model_loaded);
+  const Duration left = until - this->parts.clock.Now();
+  if (left <= Duration(0) || this->sends >= kMaxSends) {
+    return false;
+  }
+  const CopyRef copy =
+      model_loaded ? this->meta.copy : CopyRef{this->meta.copy.model, {}};
+  this->parts.interest.BeginWaiting({this->service, copy});
+  (void)this->parts.board_changed.WaitFor(std::min<Duration>(left, kCopyPoll));
+  this->parts.interest.EndWaiting({this->service, copy});
+  return true;
+}
+
+bool Relay::Connect(Attempt& attempt) {
+  const std::string& address = attempt.target.address;
+  auto connection = this->parts.pool.TakeIdle(address);
+  if (connection == nullptr) {
+    connection = this->parts.pool.Connect(address);
+  }
+  if (connection == nullptr) {
+    return false;
+  }
+  attempt.exchange = std::make_unique<Exchange>(
+      std::move(connection),
+      this->request.message.method() == http::verb::head);
+  return true;
+}
+
+std::string Relay::HeadFor(const Attempt& attempt) const {
+  const auto& message = this->request.message;
+  std::string head;
+  head.append(message.method_string())
+      .append(" ")
+      .append(message.target())
+      .append(" HTTP/1.1\r\n");
+  AppendEndToEnd(head, message.base(), [this](std::string_view name) {
+    return this->parts.protocol.IsReserved(name) ||
+           boost::beast::iequals(name, "Expect");
+  });
+  this->parts.protocol.AppendSend(
+      head,
+      {attempt.target.target,
+       std::chrono::duration_cast<std::chrono::milliseconds>(this->Left()),
+       this->events.Last()});
+  const bool has_body = !this->body->empty() ||
+                        message.count(http::field::content_length) > 0 ||
+                        message.count(http::field::transfer_encoding) > 0;
+  if (has_body) {
+    head.append("Content-Length: ")
+        .append(std::to_string(this->body->size()))
+        .append("\r\n");
+  }
+  head.append("\r\n");
+  return head;
+}
+
+Duration Relay::FirstByteLimit(const ChosenTarget& target) const {
+  if (!this->route->IsRepeatable() || this->runs + 1 >= this->route->attempts) {
+    return this->Left();
+  }
+  const Duration silence = this->route->kind == RequestKind::kStream
+                               ? Duration(kStreamSilence)
+                               : Duration(kCallSilence);
+  return std::min(this->Left(),
+                  std::max(silence, kSilenceFactor * target.expected));
+}
+
+Relay::End Relay::Try(Attempt& attempt) {
+  if (!this->Connect(attempt)) {
+    attempt.reason = Reason::kTargetUnreachable;
+    // The board learns from it as from a failed attempt.
+    attempt.id = AttemptId{this->parts.random.Next()};
+    this->parts.board.OnSent(attempt.id, attempt.target, this->Query());
+    return End::kUnsent;
+  }
+  if (this->channel.IsGone()) {
+    return End::kCallerGone;
+  }
+  attempt.id = AttemptId{this->parts.random.Next()};
+  this->parts.board.OnSent(attempt.id, attempt.target, this->Query());
+  this->parts.metrics.Count(Event::kAttemptStarted);
+  if (this->stream_begun) {
+    this->parts.metrics.Count(Event::kStreamResumed);
+  }
+  ++this->sends;
+  this->current = attempt.exchange.get();
+  const End end = this->Exchanged(attempt);
+  this->current = nullptr;
+  if (end == End::kUnknown && this->channel.IsGone()) {
+    return End::kCallerGone;
+  }
+  return end;
+}
+
+Relay::End Relay::Exchanged(Attempt& attempt) {
+  attempt.exchange->Send(this->HeadFor(attempt), this->body);
+  bool has_head = false;
+  {
+    Exchange& exchange = *attempt.exchange;
+    const Alarm silence(this->parts.alarms,
+                        this->FirstByteLimit(attempt.target),
+                        [&exchange] { exchange.Cancel(); });
+    has_head = this->ReadOwnHead(attempt);
+  }
+  if (!has_head) {
+    ++this->runs;
+    attempt.reason =
+        this->IsLate() ? Reason::kDeadlineExceeded : Reason::kTargetCrashed;
+    return End::kUnknown;
+  }
+  this->parts.board.OnFirstByte(attempt.id);
+  if (attempt.meta.load) {
+    this->parts.board.OnLoad(attempt.target.target, *attempt.meta.load);
+  }
+  return this->JudgeHead(attempt);
+}
+
+// Reads past answers to earlier requests on the same connection.
+bool Relay::ReadOwnHead(Attempt& attempt) {
+  Exchange& exchange = *attempt.exchange;
+  while (exchange.ReadHead()) {
+    const auto& head = exchange.GetHead();
+    attempt.meta = this->parts.protocol.ReadAnswer(head.result_int(), head,
+                                                   attempt.target.target);
+    if (attempt.meta.id == this->meta.id ||
+        (attempt.meta.id.empty() && !IsSuccess(head.result_int()))) {
+      return true;
+    }
+    this->parts.metrics.Count(Event::kChunkCrossed);
+    LogWarning("answer_of_another_request",
+               {{"request", this->meta.id},
+                {"target", attempt.target.target.value},
+                {"answered", attempt.meta.id}});
+    std::string_view data;
+    BodyPart part = BodyPart::kData;
+    while (part == BodyPart::kData) {
+      part = exchange.ReadBody(data);
+    }
+    if (part == BodyPart::kBroken) {
+      return false;
+    }
+  }
+  return false;
+}
+
+Relay::End Relay::JudgeHead(Attempt& attempt) {
+  const unsigned status = attempt.exchange->GetHead().result_int();
+  if (attempt.meta.is_other_target) {
+    attempt.reason = Reason::kTargetLeaving;
+    this->parts.board.OnReplaced(attempt.target.target);
+    return End::kNotRun;
+  }
+  if (attempt.meta.not_run || status == kMisdirected) {
+    attempt.reason = Reason::kTargetRefused;
+    if (status == kMisdirected) {
+      this->parts.board.OnMissing(attempt.target.target, this->meta.copy);
+    } else {
+      this->tried.push_back(attempt.target.target);
+    }
+    std::string_view ignored;
+    while (attempt.exchange->ReadBody(ignored) == BodyPart::kData) {
+    }
+    return End::kNotRun;
+  }
+  ++this->runs;
+  if (!IsSuccess(status)) {
+    return this->ReadWhole(attempt);
+  }
+  if (!attempt.meta.is_signed) {
+    attempt.reason = Reason::kTargetError;
+    return End::kUnknown;
+  }
+  return this->route->kind == RequestKind::kStream
+             ? this->ForwardStream(attempt)
+             : this->ReadWhole(attempt);
+}
+
+std::string Relay::AnswerHead(const Exchange::Head& head) const {
+  std::string text = StatusLine(head.result_int());
+  AppendEndToEnd(text, head, [](std::string_view) { return false; });
+  if (this->request.close_after) {
+    text += "Connection: close\r\n";
+  }
+  return text;
+}
+
+Relay::End Relay::ForwardStream(Attempt& attempt) {
+  if (!this->stream_begun) {
+    this->stream_head = this->AnswerHead(attempt.exchange->GetHead()) +
+                        "Transfer-Encoding: chunked\r\n\r\n";
+  }
+  return this->ForwardEvents(attempt);
+}
+
+Relay::End Relay::ForwardEvents(Attempt& attempt) {
+  Exchange& exchange = *attempt.exchange;
+  EventSplitter splitter;
+  const bool may_go_on =
+      this->route->IsRepeatable() && this->runs < this->route->attempts;
+  const Duration silence = may_go_on ? Duration(kEventSilence) : this->Left();
+  std::string out;
+  while (true) {
+    std::string_view data;
+    BodyPart part = BodyPart::kBroken;
+    {
+      const Alarm limit(this->parts.alarms, silence,
+                        [&exchange] { exchange.Cancel(); });
+      part = exchange.ReadBody(data);
+    }
+    if (part == BodyPart::kBroken) {
+      attempt.reason =
+          this->IsLate() ? Reason::kDeadlineExceeded : Reason::kBrokenStream;
+      return End::kUnknown;
+    }
+    out.clear();
+    if (part == BodyPart::kData) {
+      splitter.Append(data);
+    }
+    while (const auto event = splitter.Next()) {
+      const EventVerdict verdict = this->events.OnEvent(event->id);
+      if (verdict == EventVerdict::kGap) {
+        attempt.reason = Reason::kCrossedAnswer;
+        return End::kUnknown;
+      }
+      if (verdict == EventVerdict::kForward) {
+        out += event->text;
+      }
+    }
+    if (!out.empty()) {
+      if (!this->first_byte) {
+        this->first_byte = this->parts.clock.Now() - this->received;
+        this->parts.metrics.RecordFirstTokenTime(*this->first_byte);
+      }
+      const bool sent = this->channel.SendChunk(
+          this->stream_begun ? std::string_view() : this->stream_head, out);
+      this->stream_begun = true;
+      if (!sent) {
+        return End::kCallerGone;
+      }
+    }
+    if (part == BodyPart::kEnd) {
+      if (splitter.Pending() > 0) {
+        attempt.reason = Reason::kBrokenStream;
+        return End::kUnknown;
+      }
+      return this->EndStream(attempt);
+    }
+  }
+}
+
+Relay::End Relay::EndStream(Attempt& attempt) {
+  attempt.exchange->Release(this->parts.pool);
+  const bool sent = this->channel.EndChunks(
+      this->stream_begun ? std::string_view() : this->stream_head);
+  this->stream_begun = true;
+  return sent ? End::kDelivered : End::kCallerGone;
+}
+
+Relay::End Relay::ReadWhole(Attempt& attempt) {
+  WholeAnswer answer;
+  const auto& head = attempt.exchange->GetHead();
+  answer.status = head.result_int();
+  answer.head = this->AnswerHead(head);
+  std::string_view data;
+  BodyPart part = attempt.exchange->ReadBody(data);
+  while (part == BodyPart::kData) {
+    answer.body += data;
+    part = attempt.exchange->ReadBody(data);
+  }
+  if (part == BodyPart::kBroken) {
+    attempt.reason =
+        this->IsLate() ? Reason::kDeadlineExceeded : Reason::kTargetCrashed;
+    return End::kUnknown;
+  }
+  attempt.exchange->Release(this->parts.pool);
+  if (!IsSuccess(answer.status)) {
+    attempt.reason = Reason::kTargetError;
+    this->failed_answer = std::move(answer);
+    return End::kFailed;
+  }
+  answer.head +=
+      "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
+  return this->channel.SendWhole(answer.head, answer.body) ? End::kDelivered
+                                                           : End::kCallerGone;
+}
+
+void Relay::OnAttemptEnd(Attempt& attempt, End end) {
+  SendEnd sent = SendEnd::kCancelled;
+  switch (end) {
+    case End::kDelivered:
+      sent = SendEnd::kGood;
+      break;
+    case End::kFailed:
+      sent = SendEnd::kError;
+      break;
+    case End::kUnsent:
+      sent = SendEnd::kBroken;
+      this->tried.push_back(attempt.target.target);
+      break;
+    case End::kUnknown:
+      sent = attempt.reason == Reason::kDeadlineExceeded ? SendEnd::kCancelled
+                                                         : SendEnd::kBroken;
+      this->tried.push_back(attempt.target.target);
+      break;
+    case End::kNotRun:
+      sent = SendEnd::kRefused;
+      break;
+    case End::kCallerGone:
+      break;
+  }
+  if (end == End::kFailed) {
+    this->tried.push_back(attempt.target.target);
+  }
+  this->parts.board.OnEnd(attempt.id, sent);
+  if (end != End::kDelivered) {
+    LogInfo("attempt_failed",
+            {{"request", this->meta.id},
+             {"target", attempt.target.target.value},
+             {"reason", CodeOf(attempt.reason)},
+             {"expected_ms", Milliseconds(attempt.target.expected)},
+             {"left_ms", Milliseconds(this->Left())},
+             {"config", this->table->Config().version.value}});
+  }
+}
+
+bool Relay::MayRepeat(End end, Reason reason) {
+  if (this->Left() <= kShortestRun || this->sends >= kMaxSends ||
+      this->tried.size() >= kMaxTried || this->channel.IsGone()) {
+    return false;
+  }
+  switch (end) {
+    case End::kUnsent:
+      return true;
+    case End::kNotRun:
+      break;
+    case End::kUnknown:
+    case End::kFailed:
+      if (!this->route->IsRepeatable() || this->runs >= this->route->attempts ||
+          reason == Reason::kDeadlineExceeded ||
+          (this->stream_begun && !this->events.Last())) {
+        return false;
+      }
+      break;
+    case End::kDelivered:
+    case End::kCallerGone:
+      return false;
+  }
+  return this->parts.retries.TryTake(this->service, this->parts.entry_count());
+}
+
+bool Relay::Finish(End end, Reason reason) {
+  if (this->channel.IsGone() || end == End::kCallerGone) {
+    this->parts.metrics.CountRefusal(Reason::kCallerGone);
+    this->LogEnd("caller_gone", 0, Reason::kCallerGone);
+    return false;
+  }
+  if (this->stream_begun) {
+    // An answer that ends early must not look complete.
+    this->parts.metrics.CountRefusal(reason);
+    this->LogEnd("cut_off", 0, reason);
+    return false;
+  }
+  if (this->failed_answer && end != End::kUnknown) {
+    WholeAnswer& answer = *this->failed_answer;
+    answer.head +=
+        "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
+    this->LogEnd("failed_by_target", answer.status, reason);
+    return this->channel.SendWhole(answer.head, answer.body);
+  }
+  if (this->runs > 0) {
+    const bool late = reason == Reason::kDeadlineExceeded;
+    return this->Refuse(late ? kGatewayTimeout : kBadGateway, reason,
+                        std::nullopt);
+  }
+  if (end == End::kUnsent && this->tried.empty() &&
+      reason == Reason::kNoTarget) {
+    const bool wants_copy = !this->Query().copy.model.IsEmpty();
+    return this->Refuse(kUnavailable,
+                        wants_copy ? Reason::kModelLoading : Reason::kNoTarget,
+                        wants_copy ? kRetryAfterLoad : kRetrySoon);
+  }
+  return this->Refuse(kUnavailable, reason, kRetrySoon);
+}
+
+bool Relay::Refuse(unsigned status,
+                   Reason reason,
+                   std::optional<Duration> retry_after) {
+  this->parts.metrics.CountRefusal(reason);
+  std::string head = StatusLine(status);
+  if (!this->meta.id.empty()) {
+    head += std::string(this->parts.protocol.RequestIdName()) + ": " +
+            this->meta.id + "\r\n";
+  }
+  if (retry_after) {
+    const auto milliseconds = Milliseconds(*retry_after);
+    std::string digits = std::to_string(milliseconds % 1000);
+    digits.insert(0, 3 - digits.size(), '0');
+    head += "Retry-After: " + std::to_string(milliseconds / 1000) + "." +
+            digits + "\r\n";
+  }
+  if (this->request.close_after) {
+    head += "Connection: close\r\n";
+  }
+  const std::string text =
+      "{\"reason\":\"" + std::string(CodeOf(reason)) + "\"}";
+  head += "Content-Type: application/problem+json\r\nContent-Length: " +
+          std::to_string(text.size()) + "\r\n\r\n";
+  this->LogEnd("refused", status, reason);
+  return this->channel.SendWhole(head, text);
+}
+
+void Relay::LogEnd(std::string_view outcome, unsigned status, Reason reason) {
+  const Duration took = this->parts.clock.Now() - this->received;
+  this->parts.metrics.RecordRequestTime(took);
+  if (reason == Reason::kNone) {
+    this->parts.metrics.Count(Event::kRequestCompleted);
+    if (this->parts.random.Below(kSuccessSample) != 0) {
+      return;
+    }
+  }
+  LogInfo(
+      "request_ended",
+      {{"request", this->meta.id},
+       {"outcome", outcome},
+       {"status", status},
+       {"reason", CodeOf(reason)},
+       {"route", this->route == nullptr ? "" : this->route->name},
+       {"service", this->service.value},
+       {"model", PrefixScope(this->meta.copy).value},
+       {"sends", this->sends},
+       {"runs", this->runs},
+       {"ms", Milliseconds(took)},
+       {"first_ms", this->first_byte ? Milliseconds(*this->first_byte) : -1},
+       {"config",
+        this->table == nullptr ? 0 : this->table->Config().version.value}});
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/routing/route_table.cc
@@ -0,0 +1,75 @@
+#include "pimentospar/routing/route_table.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace pimentospar {
+
+namespace {
+
+char Lower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view WithoutPort(std::string_view host) {
+  const auto colon = host.find(':');
+  return colon == std::string_view::npos ? host : host.substr(0, colon);
+}
+
+bool IsSameHost(std::string_view left, std::string_view right) {
+  return std::ranges::equal(left, right, {}, Lower, Lower);
+}
+
+}  // namespace
+
+const ModelSpec* EngineSpec::Find(const ModelId& model) const {
+  const auto found = std::ranges::find(this->models, model, &ModelSpec::id);
+  return found == this->models.end() ? nullptr : &*found;
+}
+
+RouteTable::RouteTable(RoutingConfig config) : config(std::move(config)) {
+  // The first match is then the longest.
+  std::ranges::stable_sort(
+      this->config.routes, std::ranges::greater(),
+      [](const RouteSpec& route) { return route.path_prefix.size(); });
+}
+
+const RouteSpec* RouteTable::Match(std::string_view host,
+                                   std::string_view path) const {
+  const std::string_view name = WithoutPort(host);
+  for (const RouteSpec& route : this->config.routes) {
+    if (path.starts_with(route.path_prefix) && IsSameHost(route.host, name)) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+const ServiceSpec* RouteTable::Find(const ServiceId& service) const {
+  const auto found =
+      std::ranges::find(this->config.services, service, &ServiceSpec::id);
+  return found == this->config.services.end() ? nullptr : &*found;
+}
+
+const ServiceId* ChooseService(const RouteSpec& route, double draw) {
+  const std::uint64_t total = std::accumulate(
+      route.services.begin(), route.services.end(), std::uint64_t{0},
+      [](std::uint64_t sum, const WeightedService& entry) {
+        return sum + entry.weight;
+      });
+  double left = draw * static_cast<double>(total);
+  const ServiceId* last = nullptr;
+  for (const WeightedService& entry : route.services) {
+    if (entry.weight == 0) {
+      continue;
+    }
+    last = &entry.service;
+    left -= entry.weight;
+    if (left < 0) {
+      return last;
+    }
+  }
+  return last;
+}
+
+}  // namespace pimentospar
--- /dev/null
+++ b/src/routing/target_board.cc
@@ -0,0 +1,410 @@
+#include "pimentospar/routing/target_board.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace pimentospar {
+
+namespace {
+
+// Entries that see the same load spread over targets of nearly the same cost.
+constexpr double kCostNoise = 0.15;
+// Keeps the ratio of costs finite for idle targets.
+constexpr std::chrono::milliseconds kBaseCost{20};
+// How much one seen time changes the pace of a target.
+constexpr double kPaceGain = 0.2;
+constexpr double kSlowestPace = 8;
+// A pace is learnt only from expected times that noise does not dominate.
+constexpr std::chrono::milliseconds kPaceFloor{20};
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+bool Holds(const Inventory& inventory, const CopyRef& copy) {
+  const auto found =
+      std::ranges::find(inventory.models, copy.model, &LoadedModel::model);
+  if (found == inventory.models.end()) {
+    return false;
+  }
+  return copy.adapter.IsEmpty() ||
+         std::ranges::find(found->adapters, copy.adapter) !=
+             found->adapters.end();
+}
+
+ModelId PrefixScope(const CopyRef& copy) {
+  return copy.adapter.IsEmpty()
+             ? copy.model
+             : ModelId(copy.model.value + "/" + copy.adapter.value);
+}
+
+TargetBoard::TargetBoard(const Clock& clock,
+                         RandomSource& random,
+                         TargetBoardOptions options)
+    : clock(clock), random(random), options(std::move(options)) {}
+
+void TargetBoard::OnTarget(const TargetDescription& target) {
+  const auto [entry, is_new] =
+      this->targets.try_emplace(target.id, target, this->options);
+  if (is_new) {
+    return;
+  }
+  Target& known = entry->second;
+  known.gone_at.reset();
+  const bool restarted =
+      target.inventory.started > known.description.inventory.started;
+  if (restarted || target.address != known.description.address) {
+    known.health = TargetHealth(this->options.health);
+    known.prefixes = PrefixBelief(this->options.prefixes);
+    known.planner_told.reset();
+    known.pace = 1;
+  }
+  Inventory inventory = std::move(known.description.inventory);
+  known.description = target;
+  std::swap(known.description.inventory, inventory);
+  this->OnInventory(target.id, inventory, InventorySource::kRegistration);
+}
+
+void TargetBoard::OnRemoved(const TargetId& target, TimePoint gone_at) {
+  const auto found = this->targets.find(target);
+  if (found != this->targets.end() && !found->second.gone_at) {
+    found->second.gone_at = gone_at;
+  }
+}
+
+void TargetBoard::OnInventory(const TargetId& target,
+                              const Inventory& inventory,
+                              InventorySource source) {
+  const auto found = this->targets.find(target);
+  if (found == this->targets.end()) {
+    return;
+  }
+  Target& known = found->second;
+  const Inventory& held = known.description.inventory;
+  if (inventory.started < held.started) {
+    return;
+  }
+  const bool restarted = inventory.started > held.started;
+  const TimePoint now = this->clock.Now();
+  if (source == InventorySource::kPlanner) {
+    if (!restarted && inventory.orders < held.orders) {
+      return;
+    }
+    known.planner_told = now;
+    known.description.inventory = inventory;
+    return;
+  }
+  const bool planner_knows =
+      known.planner_told &&
+      now - *known.planner_told < this->options.planner_priority;
+  if (!restarted && planner_knows) {
+    return;
+  }
+  // A registration does not count the orders.
+  const std::uint64_t orders = restarted ? 0 : held.orders;
+  known.description.inventory = inventory;
+  known.description.inventory.orders = orders;
+}
+
+void TargetBoard::OnMissing(const TargetId& target, const CopyRef& copy) {
+  const auto found = this->targets.find(target);
+  if (found == this->targets.end()) {
+    return;
+  }
+  auto& models = found->second.description.inventory.models;
+  if (copy.adapter.IsEmpty()) {
+    std::erase_if(models, [&](const LoadedModel& loaded) {
+      return loaded.model == copy.model;
+    });
+    return;
+  }
+  for (LoadedModel& loaded : models) {
+    if (loaded.model != copy.model) {
+      continue;
+    }
+    if (std::erase(loaded.adapters, copy.adapter) == 0) {
+      // The adapter was known to be missing, so the model is.
+      loaded.adapters.clear();
+    }
+  }
+}
+
+void TargetBoard::OnReplaced(const TargetId& target) {
+  this->OnRemoved(target, this->clock.Now());
+}
+
+bool TargetBoard::IsUsable(const Target& target, TimePoint now) const {
+  return !target.description.draining &&
+         (!target.gone_at || now < *target.gone_at);
+}
+
+bool TargetBoard::Offers(const Target& target,
+                         const TargetQuery& query,
+                         TimePoint now) const {
+  if (target.description.service != query.service ||
+      !this->IsUsable(target, now)) {
+    return false;
+  }
+  return query.copy.model.IsEmpty() ||
+         Holds(target.description.inventory, query.copy);
+}
+
+Duration TargetBoard::Distance(const TargetDescription& target) const {
+  if (target.data_centre == this->options.data_centre) {
+    return Duration(0);
+  }
+  return target.region == this->options.region
+             ? this->options.other_data_centre_cost
+             : this->options.other_region_cost;
+}
+
+double TargetBoard::DecayOf(const Target& target, TimePoint now) const {
+  const double age =
+      std::chrono::duration<double>(now - target.load_reported).count();
+  const double half_life =
+      std::chrono::duration<double>(this->options.report_half_life).count();
+  return std::exp2(-age / half_life);
+}
+
+TargetBoard::Estimate TargetBoard::EstimateFor(const Target& target,
+                                               const TargetQuery& query,
+                                               TimePoint now) const {
+  const double decay = this->DecayOf(target, now);
+  const double running = target.in_flight + target.others_running * decay;
+  const Duration distance = this->Distance(target.description);
+  if (query.copy.model.IsEmpty()) {
+    const double rounds =
+        (running + 1) / std::max<std::uint32_t>(target.description.slots, 1);
+    const Duration wait =
+        Scale(this->options.call_cost, 0.5 * rounds + std::max(1.0, rounds));
+    return {wait, wait + distance, 0};
+  }
+  const double cached = std::min<double>(
+      query.prompt_tokens, target.prefixes.ExpectedTokens(
+                               PrefixScope(query.copy), query.prefix, now));
+  const double missing = query.prompt_tokens - cached;
+  const double wanted = query.prefix.empty() ? 0 : query.prefix.back().tokens;
+  const double missed = std::max(0.0, wanted - cached);
+  const auto reading = [this](double tokens) {
+    return Scale(std::chrono::milliseconds(1),
+                 tokens / this->options.prompt_tokens_per_ms);
+  };
+  const Duration expected =
+      reading(missing + static_cast<double>(target.unread_tokens)) +
+      Scale(this->options.running_cost, running) +
+      Scale(this->options.waiting_cost, target.others_waiting * decay);
+  const Duration extra =
+      reading(missed * (this->options.prefix_miss_factor - 1));
+  return {expected, expected + extra + distance,
+          static_cast<std::uint32_t>(missing)};
+}
+
+BoardChoice TargetBoard::WithoutCandidates(const TargetQuery& query,
+                                           TimePoint now) const {
+  if (query.copy.model.IsEmpty()) {
+    return NoUsableTarget{};
+  }
+  TargetQuery model_only = query;
+  model_only.copy.adapter = {};
+  bool runs_service = false;
+  for (const auto& [id, target] : this->targets) {
+    if (target.description.service != query.service ||
+        !this->IsUsable(target, now)) {
+      continue;
+    }
+    runs_service = true;
+    if (this->Offers(target, query, now)) {
+      // Held, but only by targets that were tried.
+      return NoUsableTarget{};
+    }
+    if (!query.copy.adapter.IsEmpty() &&
+        this->Offers(target, model_only, now)) {
+      return NeedsCopy{true};
+    }
+  }
+  return runs_service ? BoardChoice(NeedsCopy{}) : NoUsableTarget{};
+}
+
+BoardChoice TargetBoard::Choose(const TargetQuery& query) {
+  const TimePoint now = this->clock.Now();
+  this->ForgetGone(now);
+  const Target* best = nullptr;
+  Estimate best_estimate;
+  double best_cost = std::numeric_limits<double>::infinity();
+  bool best_is_trial = false;
+  for (const auto& [id, target] : this->targets) {
+    if (!this->Offers(target, query, now) ||
+        std::ranges::find(query.tried, id) != query.tried.end()) {
+      continue;
+    }
+    const Estimate estimate = this->EstimateFor(target, query, now);
+    const double weight = target.health.Weight();
+    const bool trial = query.repeatable && target.health.IsTrialDue(now);
+    double cost = static_cast<double>((estimate.cost + kBaseCost).count()) *
+                  target.pace / (weight * weight) *
+                  (1 + kCostNoise * this->random.Unit());
+    if (trial) {
+      cost = 0;
+    }
+    if (cost < best_cost) {
+      best = &target;
+      best_estimate = estimate;
+      best_cost = cost;
+      best_is_trial = trial;
+    }
+  }
+  if (best == nullptr) {
+    return this->WithoutCandidates(query, now);
+  }
+  return ChosenTarget{best->description.id,
+                      best->description.address,
+                      best->description.inventory.started,
+                      Scale(best_estimate.expected, best->pace),
+                      best_estimate.new_tokens,
+                      best_is_trial};
+}
+
+void TargetBoard::OnSent(AttemptId attempt,
+                         const ChosenTarget& chosen,
+                         const TargetQuery& query) {
+  const auto found = this->targets.find(chosen.target);
+  if (found == this->targets.end()) {
+    return;
+  }
+  Target& target = found->second;
+  const TimePoint now = this->clock.Now();
+  ++target.in_flight;
+  target.unread_tokens += chosen.new_tokens;
+  if (chosen.trial) {
+    target.health.OnTrialSent(now);
+  }
+  if (!query.prefix.empty()) {
+    constexpr std::uint32_t kNotTold = 1;
+    target.prefixes.OnUse(PrefixScope(query.copy), query.prefix, kNotTold, now);
+  }
+  this->sent[attempt] = {chosen.target,     now,          chosen.expected,
+                         chosen.new_tokens, chosen.trial, false};
+}
+
+void TargetBoard::OnFirstByte(AttemptId attempt) {
+  const auto sent = this->sent.find(attempt);
+  if (sent == this->sent.end() || sent->second.answered) {
+    return;
+  }
+  sent->second.answered = true;
+  const auto found = this->targets.find(sent->second.target);
+  if (found == this->targets.end()) {
+    return;
+  }
+  Target& target = found->second;
+  target.unread_tokens -=
+      std::min<std::uint64_t>(target.unread_tokens, sent->second.new_tokens);
+  const Duration seen = this->clock.Now() - sent->second.at;
+  const Duration distance = this->Distance(target.description);
+  const double ratio =
+      static_cast<double>(
+          (std::max(seen - distance, Duration(0)) + kPaceFloor).count()) /
+      static_cast<double>((sent->second.expected + kPaceFloor).count());
+  // The expected time already holds the pace.
+  target.pace = std::clamp(
+      target.pace * (1 + kPaceGain * (std::clamp(ratio, 0.25, 4.0) - 1)), 1.0,
+      kSlowestPace);
+}
+
+void TargetBoard::OnLoad(const TargetId& target, const ReportedLoad& load) {
+  const auto found = this->targets.find(target);
+  if (found == this->targets.end()) {
+    return;
+  }
+  Target& known = found->second;
+  const double total = load.running + load.waiting;
+  const double others = std::max(0.0, total - known.in_flight);
+  known.others_waiting = std::min<double>(others, load.waiting);
+  known.others_running = others;
+  known.load_reported = this->clock.Now();
+}
+
+void TargetBoard::OnEnd(AttemptId attempt, SendEnd end) {
+  const auto entry = this->sent.extract(attempt);
+  if (entry.empty()) {
+    return;
+  }
+  const Sent& sent = entry.mapped();
+  const auto found = this->targets.find(sent.target);
+  if (found == this->targets.end()) {
+    return;
+  }
+  Target& target = found->second;
+  target.in_flight -= std::min<std::uint32_t>(target.in_flight, 1);
+  if (!sent.answered) {
+    target.unread_tokens -=
+        std::min<std::uint64_t>(target.unread_tokens, sent.new_tokens);
+  }
+  const TimePoint now = this->clock.Now();
+  switch (end) {
+    case SendEnd::kGood:
+      target.health.OnGood(sent.trial);
+      break;
+    case SendEnd::kError:
+      target.health.OnSlow(now, this->random);
+      break;
+    case SendEnd::kBroken:
+      target.health.OnFailed(now, this->random);
+      break;
+    case SendEnd::kRefused:
+    case SendEnd::kCancelled:
+      if (sent.trial) {
+        target.health.OnTrialVoid();
+      }
+      break;
+  }
+}
+
+void TargetBoard::ForgetGone(TimePoint now) {
+  std::erase_if(this->targets, [now](const auto& entry) {
+    const Target& target = entry.second;
+    return target.gone_at && now >= *target.gone_at && target.in_flight == 0;
+  });
+}
+
+std::vector<TargetDescription> TargetBoard::Targets() const {
+  const TimePoint now = this->clock.Now();
+  std::vector<TargetDescription> found;
+  for (const auto& [id, target] : this->targets) {
+    if (!target.gone_at || now < *target.gone_at) {
+      found.push_back(target.description);
+    }
+  }
+  return found;
+}
+
+const TargetDescription* TargetBoard::Find(const TargetId& target) const {
+  const auto found = this->targets.find(target);
+  return found == this->targets.end() ? nullptr : &found->second.description;
+}
+
+double TargetBoard::Utilization(const ServiceId& service) const {
+  const TimePoint now = this->clock.Now();
+  double taken = 0;
+  double slots = 0;
+  for (const auto& [id, target] : this->targets) {
+    if (target.description.service != service || !this->IsUsable(target, now)) {
+      continue;
+    }
+    taken +=
+        target.in_flight + target.others_running * this->DecayOf(target, now);
+    slots += target.description.slots;
+  }
+  return slots == 0 ? 1 : taken / slots;
+}
+
+std::size_t TargetBoard::InFlight(const TargetId& target) const {
+  const auto found = this->targets.find(target);
+  return found == this->targets.end() ? 0 : found->second.in_flight;
+}
+
+}  // namespace pimentospar
