Read what engines hold under the lease, and close kept connections while draining

Ruled out: loads of the same planner (one order at a time, bound to the count of orders).

Change: the planner plans only with engines whose own report shows no order under way; a connection closes after the answer while the process drains, and requests 3 s after the signal are refused.

--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -166,7 +166,8 @@
     usable = this->handler(request, channel) && !channel.IsGone();
   }
   --this->in_flight;
-  return usable && !request.close_after;
+  // A caller that was not asked to close would send its next request here.
+  return usable && !request.close_after && !this->draining;
 }
 
 void Front::Refuse(Connection& connection, const error_code& error) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds kTalkStep{150};
 // The balancer takes a host out after two misses a second apart.
 constexpr std::chrono::milliseconds kBalancerLag{2300};
+// A request that comes later after the signal to stop might not end in time.
+constexpr std::chrono::milliseconds kLastTaken{3000};
 // Left for the end of the process before it is killed.
 constexpr std::chrono::milliseconds kExitReserve{700};
 constexpr std::chrono::milliseconds kDrainStep{50};
@@ -182,6 +184,7 @@
 void Gateway::Drain() {
   const TimePoint start = this->clock.Now();
   this->draining = true;
+  this->drain_started = start;
   this->front.BeginDrain();
   this->lease.StopTaking();
   this->loop.Spawn([this] { this->Unregister(); });
@@ -202,7 +205,10 @@
 
 bool Gateway::OnCaller(CallerRequest& request, CallerChannel& channel) {
   request.close_after = request.close_after || this->draining;
-  return Relay(this->relay_parts, request, channel).Run();
+  Relay relay(this->relay_parts, request, channel);
+  const bool takes_none =
+      this->draining && this->clock.Now() - this->drain_started > kLastTaken;
+  return takes_none ? relay.RefuseDraining() : relay.Run();
 }
 
 bool Gateway::Respond(CallerRequest& request,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -118,6 +118,7 @@
   Front ready;
   Front operators;
   bool draining = false;
+  TimePoint drain_started{};
   TimePoint targets_regained_at{};
 };
 
--- a/src/gateway/order_duty.cc
+++ b/src/gateway/order_duty.cc
@@ -13,6 +13,8 @@
 // An adapter is usable this long after its order was accepted.
 constexpr std::chrono::milliseconds kAdapterLoad{12};
 constexpr std::chrono::milliseconds kReportStep{250};
+// A report lags, and each one has its price.
+constexpr std::chrono::milliseconds kReadPause{300};
 // An order that nothing is known of is looked at after this time.
 constexpr std::chrono::milliseconds kUnknownPause{300};
 // A load or an unload that takes longer is left to the next plan.
@@ -99,6 +101,7 @@
 void OrderDuty::OnWanted(const ServiceCopy& copy) {
   this->planner.OnWanted(copy);
   if (this->active) {
+    this->CheckHolders(copy);
     this->due.NotifyAll();
   }
 }
@@ -110,7 +113,7 @@
     if (held != this->active) {
       this->active = held;
       this->planner.Reset();
-      this->read.clear();
+      this->known.clear();
     }
     if (this->active && this->routes != nullptr) {
       this->Step();
@@ -119,25 +122,44 @@
 }
 
 std::vector<TargetDescription> OrderDuty::KnownEngines() {
-  std::vector<TargetDescription> known;
+  std::vector<TargetDescription> engines;
   for (TargetDescription& target : this->board.Targets()) {
     const ServiceSpec* service = this->routes->Find(target.service);
     if (service == nullptr || !service->engine) {
       continue;
     }
-    const auto read = this->read.find(target.id);
-    if (read != this->read.end() && read->second == target.inventory.started) {
-      known.push_back(std::move(target));
-      continue;
+    const auto known = this->known.find(target.id);
+    if (known != this->known.end() &&
+        known->second.started == target.inventory.started) {
+      target.inventory = known->second;
+      engines.push_back(std::move(target));
+    } else if (!target.draining) {
+      this->ReadSoon(target.id);
     }
-    if (!target.draining && this->reading.insert(target.id).second) {
-      this->loop.Spawn([this, id = target.id] {
-        (void)this->Refresh(id);
-        this->reading.erase(id);
-      });
+  }
+  return engines;
+}
+
+void OrderDuty::ReadSoon(const TargetId& target) {
+  if (!this->reading.insert(target).second) {
+    return;
+  }
+  this->loop.Spawn([this, target] {
+    (void)this->Refresh(target);
+    boost::this_fiber::sleep_for(kReadPause);
+    this->reading.erase(target);
+    this->due.NotifyAll();
+  });
+}
+
+void OrderDuty::CheckHolders(const ServiceCopy& copy) {
+  for (const auto& [id, inventory] : this->known) {
+    const TargetDescription* target = this->board.Find(id);
+    if (target != nullptr && target->service == copy.service &&
+        !target->draining && Holds(inventory, copy.copy)) {
+      this->ReadSoon(id);
     }
   }
-  return known;
 }
 
 void OrderDuty::Step() {
@@ -167,15 +189,16 @@
     return OrderEnd::kRefused;
   }
   const TargetDescription target = *found;
+  const std::uint64_t after = this->known[order.target].orders;
   const TimePoint start = this->clock.Now();
   const OrderAnswer answer = this->control.Give(
-      target, order, target.inventory.orders, FencingToken{held->value + 1});
+      target, order, after, FencingToken{held->value + 1});
   this->metrics.Count(Event::kOrderSent);
   LogInfo("order_given", {{"target", order.target.value},
                           {"kind", ToString(order.kind)},
                           {"copy", PrefixScope(order.copy).value},
                           {"reason", ToString(order.reason)},
-                          {"after", target.inventory.orders},
+                          {"after", after},
                           {"lease", held->value},
                           {"answer", ToString(answer)},
                           {"ms", Milliseconds(this->clock.Now() - start)}});
@@ -213,11 +236,7 @@
   if (loads) {
     boost::this_fiber::sleep_for(kAdapterLoad);
   }
-  const TargetDescription* target = this->board.Find(order.target);
-  if (target == nullptr) {
-    return OrderEnd::kRefused;
-  }
-  Inventory inventory = target->inventory;
+  Inventory inventory = this->known[order.target];
   ++inventory.orders;
   if (loads) {
     AddAdapter(inventory, order.copy);
@@ -277,29 +296,28 @@
   }
   const TargetDescription description = *found;
   const auto report = this->control.Report(description);
-  if (!report) {
+  if (!report || report->busy) {
+    this->known.erase(target);
     return false;
   }
   this->board.OnLoad(target, report->load);
-  this->read[target] = report->inventory.started;
   this->Publish(target, report->inventory);
   return true;
 }
 
 void OrderDuty::Publish(const TargetId& target, const Inventory& inventory) {
+  this->known[target] = inventory;
   this->board.OnInventory(target, inventory, InventorySource::kPlanner);
   this->board_changed.NotifyAll();
   this->announce({{target, inventory}});
 }
 
 void OrderDuty::Withdraw(const PlannedOrder& order) {
-  const TargetDescription* target = this->board.Find(order.target);
-  if (target == nullptr) {
-    return;
-  }
-  Inventory inventory = target->inventory;
+  Inventory inventory = this->known[order.target];
   Remove(inventory, order.copy);
-  this->Publish(order.target, inventory);
+  this->board.OnInventory(order.target, inventory, InventorySource::kPlanner);
+  this->board_changed.NotifyAll();
+  this->announce({{order.target, inventory}});
 }
 
 }  // namespace pimentospar
--- a/src/gateway/order_duty.h
+++ b/src/gateway/order_duty.h
@@ -48,11 +48,15 @@
   [[nodiscard]] OrderEnd Give(const PlannedOrder& order);
   [[nodiscard]] OrderEnd Follow(const PlannedOrder& order);
   [[nodiscard]] OrderEnd AwaitModel(const PlannedOrder& order);
-  /// Reads and tells the state of a target; false if it does not answer.
+  void ReadSoon(const TargetId& target);
+  /// Reads and tells the state of a target. Returns false if it does not answer
+  /// or carries out an order, so that what it will hold is not known.
   bool Refresh(const TargetId& target);
   void Publish(const TargetId& target, const Inventory& inventory);
   /// Takes the copy from the inventory that all entries see.
   void Withdraw(const PlannedOrder& order);
+  /// Reads targets that should hold the copy, since a request says otherwise.
+  void CheckHolders(const ServiceCopy& copy);
   [[nodiscard]] Duration LoadTime(const PlannedOrder& order) const;
 
   FiberLoop& loop;
@@ -67,8 +71,10 @@
   FiberSignal due;
   std::shared_ptr<const RouteTable> routes;
   std::optional<LogOffset> active;
-  /// Starts of engines whose state was read under the lease.
-  std::map<TargetId, std::int64_t> read;
+  /// What engines hold, as read and ordered under the lease; registrations lag
+  /// and do not change it.
+  std::map<TargetId, Inventory> known;
+  /// Engines whose state is being read, or was read too recently to do it again.
   std::set<TargetId> reading;
 };
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -137,6 +137,10 @@
   }
 }
 
+bool Relay::RefuseDraining() {
+  return this->Refuse(kUnavailable, Reason::kDraining, kRetrySoon);
+}
+
 TargetQuery Relay::Query() const {
   TargetQuery query;
   query.service = this->service;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -46,6 +46,8 @@
 
   /// Returns false if the caller's connection cannot be used any more.
   bool Run();
+  /// Refuses the request, since the process stops.
+  bool RefuseDraining();
 
  private:
   /// An answer that was read to its end.
