--- a/src/gateway/order_duty.cc
+++ b/src/gateway/order_duty.cc
@@ -13,7 +13,9 @@
 // An adapter is usable this long after its order was accepted.
 constexpr std::chrono::milliseconds kAdapterLoad{12};
 constexpr std::chrono::milliseconds kReportStep{250};
-// A report lags, and each one has its price.
+// A report shows what has changed within this time.
+constexpr std::chrono::milliseconds kReportLag{600};
+// Each report has its price.
 constexpr std::chrono::milliseconds kReadPause{300};
 // An order that nothing is known of is looked at after this time.
 constexpr std::chrono::milliseconds kUnknownPause{300};
@@ -130,8 +132,8 @@
     }
     const auto known = this->known.find(target.id);
     if (known != this->known.end() &&
-        known->second.started == target.inventory.started) {
-      target.inventory = known->second;
+        known->second.inventory.started == target.inventory.started) {
+      target.inventory = known->second.inventory;
       engines.push_back(std::move(target));
     } else if (!target.draining) {
       this->ReadSoon(target.id);
@@ -153,10 +155,10 @@
 }
 
 void OrderDuty::CheckHolders(const ServiceCopy& copy) {
-  for (const auto& [id, inventory] : this->known) {
+  for (const auto& [id, known] : this->known) {
     const TargetDescription* target = this->board.Find(id);
     if (target != nullptr && target->service == copy.service &&
-        !target->draining && Holds(inventory, copy.copy)) {
+        !target->draining && Holds(known.inventory, copy.copy)) {
       this->ReadSoon(id);
     }
   }
@@ -189,7 +191,7 @@
     return OrderEnd::kRefused;
   }
   const TargetDescription target = *found;
-  const std::uint64_t after = this->known[order.target].orders;
+  const std::uint64_t after = this->known[order.target].inventory.orders;
   const TimePoint start = this->clock.Now();
   const OrderAnswer answer = this->control.Give(
       target, order, after, FencingToken{held->value + 1});
@@ -236,7 +238,7 @@
   if (loads) {
     boost::this_fiber::sleep_for(kAdapterLoad);
   }
-  Inventory inventory = this->known[order.target];
+  Inventory inventory = this->known[order.target].inventory;
   ++inventory.orders;
   if (loads) {
     AddAdapter(inventory, order.copy);
@@ -296,7 +298,10 @@
   }
   const TargetDescription description = *found;
   const auto report = this->control.Report(description);
-  if (!report || report->busy) {
+  if (!report || this->IsOutdated(target, report->inventory)) {
+    return false;
+  }
+  if (report->busy) {
     this->known.erase(target);
     return false;
   }
@@ -305,19 +310,36 @@
   return true;
 }
 
+bool OrderDuty::IsOutdated(const TargetId& target,
+                           const Inventory& reported) const {
+  const auto found = this->known.find(target);
+  if (found == this->known.end()) {
+    return false;
+  }
+  const Inventory& known = found->second.inventory;
+  if (known.started != reported.started) {
+    return reported.started < known.started;
+  }
+  return reported.orders < known.orders ||
+         (reported.orders == known.orders &&
+          this->clock.Now() - found->second.changed < kReportLag);
+}
+
 void OrderDuty::Publish(const TargetId& target, const Inventory& inventory) {
-  this->known[target] = inventory;
+  this->known[target] = {inventory, this->clock.Now()};
+  this->Tell(target, inventory);
+}
+
+void OrderDuty::Tell(const TargetId& target, const Inventory& inventory) {
   this->board.OnInventory(target, inventory, InventorySource::kPlanner);
   this->board_changed.NotifyAll();
   this->announce({{target, inventory}});
 }
 
 void OrderDuty::Withdraw(const PlannedOrder& order) {
-  Inventory inventory = this->known[order.target];
+  Inventory inventory = this->known[order.target].inventory;
   Remove(inventory, order.copy);
-  this->board.OnInventory(order.target, inventory, InventorySource::kPlanner);
-  this->board_changed.NotifyAll();
-  this->announce({{order.target, inventory}});
+  this->Tell(order.target, inventory);
 }
 
 }  // namespace pimentospar
--- a/src/gateway/order_duty.h
+++ b/src/gateway/order_duty.h
@@ -39,6 +39,11 @@
   void OnWanted(const ServiceCopy& copy);
 
  private:
+  struct KnownInventory {
+    Inventory inventory;
+    TimePoint changed;
+  };
+
   void Run();
   /// Reads the state of engines that have started, or that a predecessor may
   /// have changed; returns those whose state is known.
@@ -53,6 +58,10 @@
   /// or carries out an order, so that what it will hold is not known.
   bool Refresh(const TargetId& target);
   void Publish(const TargetId& target, const Inventory& inventory);
+  void Tell(const TargetId& target, const Inventory& inventory);
+  /// Returns whether a report may be older than what is known; reports lag.
+  [[nodiscard]] bool IsOutdated(const TargetId& target,
+                                const Inventory& reported) const;
   /// Takes the copy from the inventory that all entries see.
   void Withdraw(const PlannedOrder& order);
   /// Reads targets that should hold the copy, since a request says otherwise.
@@ -73,7 +82,7 @@
   std::optional<LogOffset> active;
   /// What engines hold, as read and ordered under the lease; registrations lag
   /// and do not change it.
-  std::map<TargetId, Inventory> known;
+  std::map<TargetId, KnownInventory> known;
   /// Engines whose state is being read, or was read too recently to do it again.
   std::set<TargetId> reading;
 };
