Test the decisions of the gateway, and use free room before unloading copies

Cause: with equal losses the first engine in order was taken, also if a copy had to go there while another engine had room (found by LoadsAWantedModelWhereThereIsRoom).

Change: an unload costs a little more than none.

--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -9,6 +9,8 @@
 
 // Gain of the first copy of a model that requests wait for: above any other.
 constexpr double kFirstCopyGain = 100;
+// Loss of any copy: free room goes first.
+constexpr double kUnloadLoss = 0.01;
 // Loss of the last copy of a model in use.
 constexpr double kLastCopyLoss = 10;
 // Demand below this many requests in the memory counts as none.
@@ -332,8 +334,8 @@
           !this->Fits(*service.engine, engine, model, loaded.model)) {
         continue;
       }
-      consider(
-          {&engine, loaded.model, this->LossOf(engine, loaded.model), at_hand});
+      consider({&engine, loaded.model,
+                kUnloadLoss + this->LossOf(engine, loaded.model), at_hand});
     }
   }
   return best;
--- /dev/null
+++ b/test/copy_planner_test.cc
@@ -0,0 +1,268 @@
+#define BOOST_TEST_MODULE copy_planner
+#include "pimentospar/planning/copy_planner.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace pimentospar {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceId kService("s");
+
+ServiceCopy Copy(const std::string& model, const std::string& adapter = "") {
+  return {kService, {ModelId(model), AdapterId(adapter)}};
+}
+
+// Engines with room for two models and two adapters each; orders end when the
+// test says so.
+class Fixture {
+ public:
+  explicit Fixture(int engines = 3) {
+    ServiceSpec service;
+    service.id = kService;
+    EngineSpec engine;
+    engine.memory_bytes = 200;
+    engine.adapter_slots = 2;
+    engine.loads_per_second = 2;
+    for (const char* name : {"m0", "m1", "m2", "m3", "m4", "m5"}) {
+      engine.models.push_back({ModelId(name), 90, milliseconds(1000), 8, 1});
+    }
+    service.engine = engine;
+    const std::vector<ServiceSpec> services = {service};
+    this->planner.OnServices(services);
+    for (int i = 0; i < engines; ++i) {
+      this->Engine("t" + std::to_string(i));
+    }
+  }
+
+  TargetDescription& Engine(const std::string& name) {
+    TargetDescription& target = this->targets[name];
+    target.id = TargetId(name);
+    target.service = kService;
+    target.inventory.started = 1;
+    return target;
+  }
+
+  void Load(const std::string& engine, const std::string& model) {
+    this->Engine(engine).inventory.models.push_back({ModelId(model), {}});
+  }
+
+  std::vector<PlannedOrder> Step() {
+    std::vector<TargetDescription> all;
+    for (const auto& [name, target] : this->targets) {
+      all.push_back(target);
+    }
+    this->planner.OnTargets(all);
+    return this->planner.Step();
+  }
+
+  // Carries the order out.
+  void Finish(const PlannedOrder& order) {
+    auto& models = this->Engine(order.target.value).inventory.models;
+    if (order.copy.adapter.IsEmpty()) {
+      if (order.kind == OrderKind::kLoad) {
+        models.push_back({order.copy.model, {}});
+      } else {
+        std::erase_if(models, [&](const LoadedModel& loaded) {
+          return loaded.model == order.copy.model;
+        });
+      }
+    } else {
+      for (LoadedModel& loaded : models) {
+        if (loaded.model != order.copy.model) {
+          continue;
+        }
+        if (order.kind == OrderKind::kLoad) {
+          loaded.adapters.push_back(order.copy.adapter);
+        } else {
+          std::erase(loaded.adapters, order.copy.adapter);
+        }
+      }
+    }
+    this->planner.OnOrderEnd(order.target, OrderEnd::kDone);
+  }
+
+  void Want(const ServiceCopy& copy) { this->planner.OnWanted(copy); }
+
+  // Work of an engine for a second, over the last second.
+  void Demand(const std::string& model, double work) {
+    this->planner.OnDemand({Copy(model), 10,
+                            std::chrono::duration_cast<Duration>(
+                                std::chrono::duration<double>(work))});
+  }
+
+  ManualClock clock;
+  CopyPlanner planner{clock, {}};
+  std::map<std::string, TargetDescription> targets;
+};
+
+BOOST_FIXTURE_TEST_CASE(LoadsAWantedModelWhereThereIsRoom, Fixture) {
+  this->Load("t0", "m0");
+  this->Load("t0", "m1");
+  this->Load("t1", "m0");
+  this->Load("t1", "m1");
+  this->Want(Copy("m2"));
+  const auto orders = this->Step();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].target.value == "t2");
+  BOOST_TEST(orders[0].copy.model.value == "m2");
+  BOOST_TEST(orders[0].from_store);
+  this->Want(Copy("m2"));
+  BOOST_TEST(this->Step().empty());
+}
+
+// One need must not unload a copy at each step while the first unload runs.
+BOOST_FIXTURE_TEST_CASE(MakesRoomOnceForOneLoad, Fixture) {
+  for (const char* engine : {"t0", "t1", "t2"}) {
+    this->Load(engine, "m0");
+    this->Load(engine, "m1");
+  }
+  this->Want(Copy("m2"));
+  const auto first = this->Step();
+  BOOST_REQUIRE(first.size() == 1U);
+  BOOST_TEST((first[0].kind == OrderKind::kUnload));
+  for (int i = 0; i < 5; ++i) {
+    this->clock.Advance(milliseconds(100));
+    this->Want(Copy("m2"));
+    BOOST_TEST(this->Step().empty());
+  }
+  this->Finish(first[0]);
+  this->Want(Copy("m2"));
+  const auto second = this->Step();
+  BOOST_REQUIRE(second.size() == 1U);
+  BOOST_TEST((second[0].kind == OrderKind::kLoad));
+  BOOST_TEST(second[0].target.value == first[0].target.value);
+  BOOST_TEST(second[0].copy.model.value == "m2");
+}
+
+BOOST_FIXTURE_TEST_CASE(KeepsTheLastCopyOfAModelInUse, Fixture) {
+  this->Load("t0", "m0");
+  this->Load("t0", "m1");
+  this->Load("t1", "m2");
+  this->Load("t1", "m3");
+  this->Load("t2", "m4");
+  this->Load("t2", "m5");
+  for (const char* model : {"m0", "m1", "m2", "m3", "m4"}) {
+    this->Demand(model, 0.2);
+  }
+  // A further copy of the busiest model may cost the idle one only.
+  this->Demand("m0", 6);
+  this->clock.Advance(milliseconds(100));
+  const auto orders = this->Step();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].copy.model.value == "m5");
+}
+
+BOOST_AUTO_TEST_CASE(BoundsTheLoadsFromTheStore) {
+  Fixture fixture(20);
+  std::size_t begun = 0;
+  std::size_t most = 0;
+  // Everything is wanted and nothing stays, for twice the window.
+  for (int step = 0; step < 100; ++step) {
+    for (int model = 0; model < 6; ++model) {
+      fixture.Want(Copy("m" + std::to_string(model)));
+    }
+    const auto orders = fixture.Step();
+    for (const PlannedOrder& order : orders) {
+      begun += order.from_store ? 1 : 0;
+      fixture.planner.OnOrderEnd(order.target, OrderEnd::kDone);
+    }
+    if (step == 49) {
+      most = begun;
+    }
+    fixture.clock.Advance(milliseconds(100));
+  }
+  BOOST_TEST(most <= 10U);
+  BOOST_TEST(begun <= 20U);
+  BOOST_TEST(begun >= 18U);
+}
+
+BOOST_FIXTURE_TEST_CASE(LoadsAWantedAdapterAtTheEmptiestCopy, Fixture) {
+  this->Load("t0", "m0");
+  this->Load("t1", "m0");
+  this->Engine("t0").inventory.models[0].adapters = {AdapterId("a1")};
+  this->Want(Copy("m0", "a2"));
+  const auto orders = this->Step();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].target.value == "t1");
+  BOOST_TEST(!orders[0].from_store);
+}
+
+// Never more adapters than places, also when all are wanted at once.
+BOOST_FIXTURE_TEST_CASE(NeverFillsMorePlacesThanThereAre, Fixture) {
+  this->Load("t0", "m0");
+  for (int step = 0; step < 200; ++step) {
+    for (int adapter = 0; adapter < 8; ++adapter) {
+      this->Want(Copy("m0", "a" + std::to_string(adapter)));
+    }
+    for (const PlannedOrder& order : this->Step()) {
+      this->Finish(order);
+    }
+    for (const auto& [name, target] : this->targets) {
+      std::size_t count = 0;
+      for (const LoadedModel& loaded : target.inventory.models) {
+        count += loaded.adapters.size();
+      }
+      BOOST_REQUIRE_LE(count, 2U);
+    }
+    this->clock.Advance(milliseconds(100));
+  }
+}
+
+// Load pattern: more adapters in use than places. An adapter that requests
+// have waited for is not unloaded before they used it.
+BOOST_FIXTURE_TEST_CASE(DoesNotUnloadWhatRequestsJustWaitedFor, Fixture) {
+  this->targets.erase("t1");
+  this->targets.erase("t2");
+  this->Load("t0", "m0");
+  this->Want(Copy("m0", "a1"));
+  this->Want(Copy("m0", "a2"));
+  for (int i = 0; i < 2; ++i) {
+    const auto orders = this->Step();
+    BOOST_REQUIRE(orders.size() == 1U);
+    this->Finish(orders[0]);
+  }
+  this->Want(Copy("m0", "a3"));
+  BOOST_TEST(this->Step().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AddsCopiesForPlacesOfAdapters, Fixture) {
+  this->Load("t0", "m0");
+  for (int adapter = 0; adapter < 4; ++adapter) {
+    this->planner.OnDemand(
+        {Copy("m0", "a" + std::to_string(adapter)), 1, Duration(0)});
+  }
+  this->Demand("m0", 0.1);
+  const auto orders = this->Step();
+  BOOST_REQUIRE(!orders.empty());
+  BOOST_TEST((orders[0].reason == OrderReason::kOverload));
+  BOOST_TEST(orders[0].copy.model.value == "m0");
+}
+
+BOOST_FIXTURE_TEST_CASE(PlansNothingAtLeavingEngines, Fixture) {
+  for (auto& [name, target] : this->targets) {
+    target.draining = true;
+  }
+  this->Want(Copy("m2"));
+  BOOST_TEST(this->Step().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(PausesAfterARefusal, Fixture) {
+  this->targets.erase("t1");
+  this->targets.erase("t2");
+  this->Want(Copy("m2"));
+  const auto orders = this->Step();
+  BOOST_REQUIRE(orders.size() == 1U);
+  this->planner.OnOrderEnd(orders[0].target, OrderEnd::kRefused);
+  this->Want(Copy("m2"));
+  BOOST_TEST(this->Step().empty());
+  this->clock.Advance(milliseconds(400));
+  this->Want(Copy("m2"));
+  BOOST_TEST(this->Step().size() == 1U);
+}
+
+}  // namespace
+}  // namespace pimentospar
