Let the holder of the lease tell what it reads, and give prefixes a home

Change: the holder of the lease sends changes of registrations, counted so that a lost datagram shows, the loads of all engines and its lease; the others read the log every 4 s while they hear it, and as before when they do not. A prefix has a home among the copies of its model in each region, by highest hash.

--- a/include/pimentospar/routing/target_board.h
+++ b/include/pimentospar/routing/target_board.h
@@ -82,6 +82,9 @@
   /// Prefix tokens that are read again count this many times: the memory that
   /// they take twice is priced too.
   double prefix_miss_factor = 2;
+  /// Share of a prefix that its home is expected to have, as other entries send
+  /// it there too.
+  double home_share = 0.7;
   /// The load of other entries, as last reported, counts half after this time.
   Duration report_half_life = std::chrono::seconds(2);
   /// Inventories from the planner go before registrations for this time.
@@ -211,6 +214,9 @@
     bool trial = false;
     bool answered = false;
   };
+  /// The home of a prefix in each region: where entries that know nothing of a
+  /// cache send its requests, so that they meet there.
+  using Homes = std::unordered_map<RegionId, const Target*>;
   struct Estimate {
     Duration expected{0};
     Duration cost{0};
@@ -221,8 +227,11 @@
   [[nodiscard]] bool Offers(const Target& target,
                             const TargetQuery& query,
                             TimePoint now) const;
+  [[nodiscard]] Homes HomesOf(std::span<const Target* const> candidates,
+                              const TargetQuery& query) const;
   [[nodiscard]] Estimate EstimateFor(const Target& target,
                                      const TargetQuery& query,
+                                     const Homes& homes,
                                      TimePoint now) const;
   [[nodiscard]] Duration Distance(const TargetDescription& target) const;
   [[nodiscard]] double DecayOf(const Target& target, TimePoint now) const;
--- a/include/pimentospar/store_share.h
+++ b/include/pimentospar/store_share.h
@@ -90,6 +90,9 @@
   /// Returns true if the record replaced the lease, false if it is void.
   bool OnLease(const LeaseRecord& record);
   void OnRenew(const RenewRecord& record);
+  /// Tells that the holder of this lease says that it holds it, which counts
+  /// like a renewal if the lease is the current one.
+  void OnHolderHeard(LogOffset lease);
   /// Tells that the process which holds the current lease has ended, so that
   /// nobody needs to wait for the lease to lapse; other instances are ignored.
   void OnHolderEnded(InstanceId holder);
--- a/schema/gateway.capnp
+++ b/schema/gateway.capnp
@@ -16,6 +16,25 @@
   wanted @6 :List(EntryCopy);
   inventories @7 :List(EntryInventory);
   strikes @8 :List(EntryStrike);
+  # From the holder of the lease, so that the others read the log less often.
+  registrations @9 :List(EntryRegistration);
+  # Changes of registrations that the sender has told of since it started.
+  registrationCount @10 :UInt64;
+  # Time since the sender last read the registrations.
+  registrationAgeMs @11 :UInt32;
+  loads @12 :List(EntryLoad);
+}
+
+struct EntryRegistration {
+  target @0 :Text;
+  # As it stands on the log; empty if the target is gone.
+  value @1 :Text;
+}
+
+struct EntryLoad {
+  target @0 :Text;
+  running @1 :UInt16;
+  waiting @2 :UInt16;
 }
 
 struct EntryCopy {
--- a/schema/gateway.capnp.h
+++ b/schema/gateway.capnp.h
@@ -17,6 +17,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(dc6a7d382666f852);
+CAPNP_DECLARE_SCHEMA(fe71b93b6171cbc4);
+CAPNP_DECLARE_SCHEMA(f7fa599b4d1414f2);
 CAPNP_DECLARE_SCHEMA(8cc5a02f30ec3cf6);
 CAPNP_DECLARE_SCHEMA(e4e6c01cdf8409a2);
 CAPNP_DECLARE_SCHEMA(edd82a726743a85d);
@@ -37,7 +39,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dc6a7d382666f852, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(dc6a7d382666f852, 6, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryRegistration {
+  EntryRegistration() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe71b93b6171cbc4, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryLoad {
+  EntryLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f7fa599b4d1414f2, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -161,6 +193,16 @@
   inline bool hasStrikes() const;
   inline  ::capnp::List< ::pimentospar::wire::EntryStrike,  ::capnp::Kind::STRUCT>::Reader getStrikes() const;
 
+  inline bool hasRegistrations() const;
+  inline  ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>::Reader getRegistrations() const;
+
+  inline  ::uint64_t getRegistrationCount() const;
+
+  inline  ::uint32_t getRegistrationAgeMs() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -236,6 +278,26 @@
   inline void adoptStrikes(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryStrike,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryStrike,  ::capnp::Kind::STRUCT>> disownStrikes();
 
+  inline bool hasRegistrations();
+  inline  ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>::Builder getRegistrations();
+  inline void setRegistrations( ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>::Builder initRegistrations(unsigned int size);
+  inline void adoptRegistrations(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>> disownRegistrations();
+
+  inline  ::uint64_t getRegistrationCount();
+  inline void setRegistrationCount( ::uint64_t value);
+
+  inline  ::uint32_t getRegistrationAgeMs();
+  inline void setRegistrationAgeMs( ::uint32_t value);
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -262,6 +324,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class EntryRegistration::Reader {
+public:
+  typedef EntryRegistration Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryRegistration::Builder {
+public:
+  typedef EntryRegistration Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryRegistration::Pipeline {
+public:
+  typedef EntryRegistration Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryLoad::Reader {
+public:
+  typedef EntryLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint16_t getRunning() const;
+
+  inline  ::uint16_t getWaiting() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryLoad::Builder {
+public:
+  typedef EntryLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint16_t getRunning();
+  inline void setRunning( ::uint16_t value);
+
+  inline  ::uint16_t getWaiting();
+  inline void setWaiting( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryLoad::Pipeline {
+public:
+  typedef EntryLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EntryCopy::Reader {
 public:
   typedef EntryCopy Reads;
@@ -972,6 +1216,232 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool EntryMessage::Reader::hasRegistrations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryMessage::Builder::hasRegistrations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>::Reader EntryMessage::Reader::getRegistrations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::getRegistrations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void EntryMessage::Builder::setRegistrations( ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::initRegistrations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void EntryMessage::Builder::adoptRegistrations(
+    ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>> EntryMessage::Builder::disownRegistrations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryRegistration,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EntryMessage::Reader::getRegistrationCount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryMessage::Builder::getRegistrationCount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void EntryMessage::Builder::setRegistrationCount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EntryMessage::Reader::getRegistrationAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryMessage::Builder::getRegistrationAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void EntryMessage::Builder::setRegistrationAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryMessage::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryMessage::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>::Reader EntryMessage::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void EntryMessage::Builder::setLoads( ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void EntryMessage::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>> EntryMessage::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool EntryRegistration::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryRegistration::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryRegistration::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryRegistration::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryRegistration::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryRegistration::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryRegistration::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryRegistration::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryRegistration::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryRegistration::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryRegistration::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryRegistration::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryRegistration::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryRegistration::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EntryRegistration::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryRegistration::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EntryLoad::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryLoad::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryLoad::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryLoad::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryLoad::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryLoad::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryLoad::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryLoad::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t EntryLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t EntryLoad::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryLoad::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t EntryLoad::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t EntryLoad::Builder::getWaiting() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntryLoad::Builder::setWaiting( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryCopy::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -81,6 +81,40 @@
           milliseconds(from.getLastSeenAgeMs())};
 }
 
+void WriteFeed(wire::EntryMessage::Builder to, const EntryMessage& from) {
+  to.setRegistrationCount(from.registration_count);
+  to.setRegistrationAgeMs(ToMs(from.registration_age));
+  auto registrations =
+      to.initRegistrations(static_cast<unsigned>(from.registrations.size()));
+  unsigned index = 0;
+  for (const RegistrationChange& change : from.registrations) {
+    auto row = registrations[index++];
+    row.setTarget(change.target.value);
+    row.setValue(change.value);
+  }
+  auto loads = to.initLoads(static_cast<unsigned>(from.loads.size()));
+  index = 0;
+  for (const TargetLoadReport& entry : from.loads) {
+    auto row = loads[index++];
+    row.setTarget(entry.target.value);
+    row.setRunning(static_cast<std::uint16_t>(entry.load.running));
+    row.setWaiting(static_cast<std::uint16_t>(entry.load.waiting));
+  }
+}
+
+void ReadFeed(wire::EntryMessage::Reader from, EntryMessage& to) {
+  to.registration_count = from.getRegistrationCount();
+  to.registration_age = milliseconds(from.getRegistrationAgeMs());
+  for (const auto row : from.getRegistrations()) {
+    to.registrations.push_back(
+        {TargetId(Text(row.getTarget())), Text(row.getValue())});
+  }
+  for (const auto row : from.getLoads()) {
+    to.loads.push_back({TargetId(Text(row.getTarget())),
+                        {row.getRunning(), row.getWaiting()}});
+  }
+}
+
 void WriteLists(wire::EntryMessage::Builder to, const EntryMessage& from) {
   auto demand = to.initDemand(static_cast<unsigned>(from.demand.size()));
   unsigned index = 0;
@@ -106,6 +140,7 @@
   for (const StrikeReport& strike : from.strikes) {
     Write(strikes[index++], strike);
   }
+  WriteFeed(to, from);
 }
 
 EntryMessage Read(wire::EntryMessage::Reader from) {
@@ -131,6 +166,7 @@
   for (const auto strike : from.getStrikes()) {
     read.strikes.push_back(Read(strike));
   }
+  ReadFeed(from, read);
   return read;
 }
 
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -19,6 +19,19 @@
   Inventory inventory;
 };
 
+/// A changed registration of a target, as it stands on the log.
+struct RegistrationChange {
+  TargetId target;
+  /// Empty if the target is gone.
+  std::string value;
+};
+
+/// The load of a target, as the holder of the planner's lease read it.
+struct TargetLoadReport {
+  TargetId target;
+  ReportedLoad load;
+};
+
 /// What one entry tells another in one datagram.
 struct EntryMessage {
   HostId host;
@@ -31,6 +44,13 @@
   std::vector<ServiceCopy> wanted;
   std::vector<TargetInventory> inventories;
   std::vector<StrikeReport> strikes;
+  std::vector<RegistrationChange> registrations;
+  /// Changes of registrations that the sender has told of since its start,
+  /// those of this message included.
+  std::uint64_t registration_count = 0;
+  /// Time since the sender last read the registrations.
+  Duration registration_age{0};
+  std::vector<TargetLoadReport> loads;
 };
 
 [[nodiscard]] std::string Encode(const EntryMessage& message);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,8 +19,14 @@
 // Registrations change with each heartbeat, so a long read would end at once.
 constexpr std::chrono::milliseconds kTargetPause{900};
 constexpr std::chrono::milliseconds kConfigWait{2000};
-constexpr std::chrono::milliseconds kEntryWait{5000};
-constexpr std::chrono::milliseconds kHeartbeat{1000};
+constexpr std::chrono::milliseconds kEntryWait{8000};
+// Pause between reads while the holder of the lease tells what it reads.
+constexpr std::chrono::milliseconds kFedPause{4000};
+// Without word for so long, or with word this old, an entry reads itself.
+constexpr std::chrono::milliseconds kFeedSilence{1200};
+constexpr std::chrono::milliseconds kFeedAge{1500};
+constexpr std::size_t kLoadsPerMessage = 40;
+constexpr std::chrono::milliseconds kHeartbeat{500};
 // Demand is told this often; a copy that requests wait for, at once and again.
 constexpr std::chrono::milliseconds kTalkStep{150};
 // The balancer takes a host out after two misses a second apart.
@@ -82,25 +88,33 @@
       instance{random.Next()},
       board(clock, random, BoardOptionsOf(settings)),
       retries(clock, settings.retries),
-      config_follower(
-          loop,
-          clock,
-          random,
-          platform.log,
-          {std::string(platform.registry.ConfigStream()), kConfigWait, {}},
-          {[this](const auto& all) {
-             for (const KeyedItem& item : all) {
-               this->OnConfig(item);
-             }
-           },
-           [this](const KeyedItem& item) { this->OnConfig(item); },
-           {}}),
+      config_follower(loop,
+                      clock,
+                      random,
+                      platform.log,
+                      {std::string(platform.registry.ConfigStream()),
+                       [this] {
+                         return this->HearsFeed()
+                                    ? FollowerPace{{}, kFedPause}
+                                    : FollowerPace{kConfigWait, {}};
+                       }},
+                      {[this](const auto& all) {
+                         for (const KeyedItem& item : all) {
+                           this->OnConfig(item);
+                         }
+                       },
+                       [this](const KeyedItem& item) { this->OnConfig(item); },
+                       {}}),
       target_follower(
           loop,
           clock,
           random,
           platform.log,
-          {std::string(platform.registry.TargetStream()), {}, kTargetPause},
+          {std::string(platform.registry.TargetStream()),
+           [this] {
+             return FollowerPace{{},
+                                 this->HearsFeed() ? kFedPause : kTargetPause};
+           }},
           {[this](const auto& all) { this->OnTargets(all); },
            [this](const KeyedItem& item) { this->OnTarget(item); },
            [this] { this->targets_regained_at = this->clock.Now(); }}),
@@ -108,7 +122,10 @@
                      clock,
                      random,
                      platform.log,
-                     {std::string(kEntryStream), kEntryWait, {}},
+                     {std::string(kEntryStream),
+                      [] {
+                        return FollowerPace{kEntryWait, {}};
+                      }},
                      {[this](const auto& all) { this->OnEntries(all); },
                       [this](const KeyedItem& item) { this->OnEntry(item); },
                       {}}),
@@ -291,6 +308,7 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(gone_at - now)
               .count()}});
     this->board.OnRemoved(id, gone_at);
+    this->untold.push_back({id, {}});
     return;
   }
   leaf::try_handle_all(
@@ -299,7 +317,9 @@
                         this->platform.registry.ReadTarget(id, *item.value));
         const TargetDescription* known = this->board.Find(id);
         if (known == nullptr || known->draining != target.draining ||
+            known->address != target.address ||
             known->inventory.started != target.inventory.started) {
+          this->untold.push_back({id, *item.value});
           LogInfo("target_known", {{"target", item.key},
                                    {"service", target.service.value},
                                    {"draining", target.draining ? 1 : 0},
@@ -367,11 +387,14 @@
   while (true) {
     (void)this->interest.Asked().WaitFor(kTalkStep);
     this->TellPlanner();
+    if (!this->untold.empty()) {
+      this->AnnounceFeed();
+    }
     if (this->clock.Now() < next_heartbeat) {
       continue;
     }
     next_heartbeat = this->clock.Now() + kHeartbeat;
-    this->Announce({});
+    this->AnnounceFeed();
   }
 }
 
@@ -398,11 +421,73 @@
   EntryMessage message;
   message.inventories = std::move(inventories);
   message.lease = this->lease.Held();
+  message.registration_count = this->told_count;
+  message.registration_age = this->target_follower.Age();
   message.config = this->routes == nullptr ? ConfigVersion{}
                                            : this->routes->Config().version;
   this->link.SendAll(std::move(message));
 }
 
+void Gateway::AnnounceFeed() {
+  if (!this->lease.Held()) {
+    this->untold.clear();
+    return;
+  }
+  std::vector<TargetLoadReport> loads = this->orders.TakeLoads();
+  std::size_t next = 0;
+  do {
+    EntryMessage message;
+    const std::size_t end = std::min(loads.size(), next + kLoadsPerMessage);
+    message.loads.assign(loads.begin() + static_cast<std::ptrdiff_t>(next),
+                         loads.begin() + static_cast<std::ptrdiff_t>(end));
+    next = end;
+    this->told_count += this->untold.size();
+    message.registrations = std::exchange(this->untold, {});
+    message.lease = this->lease.Held();
+    message.registration_count = this->told_count;
+    message.registration_age = this->target_follower.Age();
+    message.config = this->routes == nullptr ? ConfigVersion{}
+                                             : this->routes->Config().version;
+    this->link.SendAll(std::move(message));
+  } while (next < loads.size());
+}
+
+bool Gateway::HearsFeed() const {
+  const TimePoint now = this->clock.Now();
+  return !this->lease.Held() && this->feed_instance &&
+         now - this->feed_heard_at < kFeedSilence &&
+         this->feed_age + (now - this->feed_heard_at) < kFeedAge;
+}
+
+void Gateway::OnFeed(const EntryMessage& message) {
+  const std::uint64_t before =
+      message.registration_count - message.registrations.size();
+  const bool missed =
+      this->feed_instance != message.instance || before != this->feed_count;
+  this->feed_instance = message.instance;
+  this->feed_count = message.registration_count;
+  this->feed_heard_at = this->clock.Now();
+  this->feed_age = message.registration_age;
+  for (const RegistrationChange& change : message.registrations) {
+    this->OnTarget({change.target.value,
+                    change.value.empty()
+                        ? std::nullopt
+                        : std::optional<std::string>(change.value),
+                    {}});
+  }
+  for (const TargetLoadReport& entry : message.loads) {
+    this->board.OnLoad(entry.target, entry.load);
+  }
+  if (missed) {
+    this->target_follower.ReadSoon();
+  }
+  if (this->routes == nullptr ||
+      message.config > this->routes->Config().version) {
+    this->config_follower.ReadSoon();
+  }
+  this->untold.clear();
+}
+
 void Gateway::OnMessage(const EntryMessage& message) {
   for (const TargetInventory& entry : message.inventories) {
     this->board.OnInventory(entry.target, entry.inventory,
@@ -413,6 +498,9 @@
   }
   if (message.lease) {
     this->lease.OnOtherLease(*message.lease);
+    if (!this->lease.Held()) {
+      this->OnFeed(message);
+    }
   }
   if (!this->lease.Held()) {
     return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,6 +92,12 @@
   void Talk();
   void TellPlanner();
   void Announce(std::vector<TargetInventory> inventories);
+  /// Tells the others what this holder of the lease has read.
+  void AnnounceFeed();
+  void OnFeed(const EntryMessage& message);
+  /// Returns whether the holder of the lease tells what it reads, so that this
+  /// entry reads the log less often.
+  [[nodiscard]] bool HearsFeed() const;
   void OnMessage(const EntryMessage& message);
   void AnswerWanted(const HostId& host, const ServiceCopy& copy);
 
@@ -120,6 +126,12 @@
   bool draining = false;
   TimePoint drain_started{};
   TimePoint targets_regained_at{};
+  std::vector<RegistrationChange> untold;
+  std::uint64_t told_count = 0;
+  std::optional<InstanceId> feed_instance;
+  std::uint64_t feed_count = 0;
+  TimePoint feed_heard_at{};
+  Duration feed_age{0};
 };
 
 }  // namespace pimentospar
--- a/src/gateway/keyed_follower.cc
+++ b/src/gateway/keyed_follower.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kFirstPause{100};
+// The pace is asked again this often while a pause lasts.
+constexpr std::chrono::milliseconds kPaceStep{300};
 constexpr std::chrono::milliseconds kLongestPause{800};
 // Doublings of the first pause up to the longest.
 constexpr std::uint32_t kMaxDoublings = 3;
@@ -60,15 +62,24 @@
         this->needs_all ? this->ReadAll() : this->ReadChanges();
     if (status == LogStatus::kDone) {
       this->OnAnswered();
-      if (this->options.pause > Duration(0)) {
-        (void)this->poked.WaitFor(this->options.pause);
-      }
+      this->Pause();
     } else {
       this->OnFailed(status);
     }
   }
 }
 
+void KeyedFollower::Pause() {
+  while (!this->read_soon) {
+    const Duration left = this->options.pace().pause - this->Age();
+    if (left <= Duration(0)) {
+      break;
+    }
+    (void)this->poked.WaitFor(std::min<Duration>(left, kPaceStep));
+  }
+  this->read_soon = false;
+}
+
 void KeyedFollower::OnAnswered() {
   const bool was_lost = this->failures > 0;
   this->failures = 0;
@@ -133,8 +144,8 @@
 }
 
 LogStatus KeyedFollower::ReadChanges() {
-  const LogRead read =
-      this->log.Read(this->options.stream, this->next, this->options.wait);
+  const LogRead read = this->log.Read(this->options.stream, this->next,
+                                      this->options.pace().wait);
   if (read.status != LogStatus::kDone) {
     return read.status;
   }
--- a/src/gateway/keyed_follower.h
+++ b/src/gateway/keyed_follower.h
@@ -12,14 +12,20 @@
 
 namespace pimentospar {
 
-struct FollowerOptions {
-  std::string stream;
+/// How often a follower reads.
+struct FollowerPace {
   /// A read waits so long for a change.
   std::chrono::milliseconds wait{2000};
-  /// Pause between two reads.
+  /// Time between two reads.
   std::chrono::milliseconds pause{0};
 };
 
+struct FollowerOptions {
+  std::string stream;
+  /// Asked before each read; may change while a pause lasts.
+  std::function<FollowerPace()> pace;
+};
+
 /// What a follower tells about its stream.
 struct FollowerHandler {
   /// The newest values of all keys; what is not among them is gone.
@@ -43,7 +49,10 @@
 
   void Start();
   /// Reads at once instead of waiting for the pause to end.
-  void ReadSoon() { this->poked.NotifyAll(); }
+  void ReadSoon() {
+    this->read_soon = true;
+    this->poked.NotifyAll();
+  }
   /// Returns whether all keys have been read once.
   [[nodiscard]] bool HasAll() const { return this->has_all; }
   /// Returns the time since the log last answered; the age of what is known.
@@ -51,6 +60,7 @@
 
  private:
   void Run();
+  void Pause();
   [[nodiscard]] LogStatus ReadAll();
   [[nodiscard]] LogStatus ReadChanges();
   void Apply(const KeyedItem& item);
@@ -64,6 +74,7 @@
   FollowerOptions options;
   FollowerHandler handler;
   FiberSignal poked;
+  bool read_soon = false;
   bool has_all = false;
   bool needs_all = true;
   LogOffset next;
--- a/src/gateway/lease_duty.cc
+++ b/src/gateway/lease_duty.cc
@@ -12,6 +12,8 @@
 namespace json = boost::json;
 
 constexpr std::chrono::milliseconds kFailurePause{250};
+// A holder tells of its lease twice in this time.
+constexpr std::chrono::milliseconds kHolderSilence{1200};
 // The holder looks this often whether a renewal is due.
 constexpr std::chrono::milliseconds kHolderStep{100};
 
@@ -77,7 +79,16 @@
   return goes_on ? this->last_held : std::nullopt;
 }
 
+bool LeaseDuty::HearsHolder() const {
+  return this->other_heard_at &&
+         this->clock.Now() - *this->other_heard_at < kHolderSilence;
+}
+
 void LeaseDuty::OnOtherLease(LogOffset other) {
+  if (this->lease.IsCurrent(other)) {
+    this->lease.OnHolderHeard(other);
+    this->other_heard_at = this->clock.Now();
+  }
   if (this->last_held && other > *this->last_held) {
     this->last_held.reset();
   }
@@ -97,7 +108,7 @@
     const bool acted = this->Act();
     this->LogChange();
     const bool held = this->lease.Held().has_value();
-    if (held && !acted) {
+    if (!acted && (held || this->HearsHolder())) {
       boost::this_fiber::sleep_for(kHolderStep);
       continue;
     }
--- a/src/gateway/lease_duty.h
+++ b/src/gateway/lease_duty.h
@@ -37,7 +37,8 @@
   /// own while it holds, and after that while the log does not answer, if
   /// targets check leases and no newer lease was heard of.
   [[nodiscard]] std::optional<LogOffset> Held() const;
-  /// Another process acts under this lease.
+  /// Another process says that it acts under this lease. While it does, the log
+  /// is not read.
   void OnOtherLease(LogOffset other);
   /// A target has seen a newer lease.
   void OnFenced();
@@ -46,6 +47,8 @@
 
  private:
   void Run();
+  /// Returns whether the holder was heard, so that nothing need be read.
+  [[nodiscard]] bool HearsHolder() const;
   [[nodiscard]] bool Act();
   [[nodiscard]] LogStatus Read(std::chrono::milliseconds wait);
   void Feed(std::string_view record, LogOffset offset);
@@ -64,6 +67,7 @@
   /// The newest own lease; gone once a newer one was heard of.
   std::optional<LogOffset> last_held;
   bool log_answers = false;
+  std::optional<TimePoint> other_heard_at;
   std::optional<InstanceId> holder;
   bool holder_is_predecessor = false;
   bool stopped = false;
--- a/src/gateway/order_duty.cc
+++ b/src/gateway/order_duty.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kReportStep{250};
 // A report shows what has changed within this time.
 constexpr std::chrono::milliseconds kReportLag{600};
+// The load of an engine changes with its streams, which last seconds.
+constexpr std::chrono::milliseconds kSurveyPeriod{800};
 // Each report has its price.
 constexpr std::chrono::milliseconds kReadPause{300};
 // An order that nothing is known of is looked at after this time.
@@ -93,6 +95,33 @@
 
 void OrderDuty::Start() {
   this->loop.Spawn([this] { this->Run(); });
+  this->loop.Spawn([this] { this->Survey(); });
+}
+
+std::vector<TargetLoadReport> OrderDuty::TakeLoads() {
+  std::vector<TargetLoadReport> taken;
+  for (const auto& [target, load] : this->loads) {
+    taken.push_back({target, load});
+  }
+  this->loads.clear();
+  return taken;
+}
+
+void OrderDuty::Survey() {
+  while (true) {
+    boost::this_fiber::sleep_for(kSurveyPeriod);
+    if (!this->active || this->routes == nullptr) {
+      continue;
+    }
+    for (const TargetDescription& target : this->KnownEngines()) {
+      this->loop.Spawn([this, target] {
+        if (const auto report = this->control.Report(target)) {
+          this->board.OnLoad(target.id, report->load);
+          this->loads[target.id] = report->load;
+        }
+      });
+    }
+  }
 }
 
 void OrderDuty::OnRoutes(std::shared_ptr<const RouteTable> routes) {
--- a/src/gateway/order_duty.h
+++ b/src/gateway/order_duty.h
@@ -37,6 +37,8 @@
   void OnDemand(const CopyDemand& demand) { this->planner.OnDemand(demand); }
   /// A request here or at another entry waits for the copy.
   void OnWanted(const ServiceCopy& copy);
+  /// Returns and forgets the loads read since the last call.
+  [[nodiscard]] std::vector<TargetLoadReport> TakeLoads();
 
  private:
   struct KnownInventory {
@@ -45,6 +47,9 @@
   };
 
   void Run();
+  /// Reads the loads of all engines in turn, so that entries that rarely send
+  /// to a target know of what the others send there.
+  void Survey();
   /// Reads the state of engines that have started, or that a predecessor may
   /// have changed; returns those whose state is known.
   [[nodiscard]] std::vector<TargetDescription> KnownEngines();
@@ -80,6 +85,7 @@
   FiberSignal due;
   std::shared_ptr<const RouteTable> routes;
   std::optional<LogOffset> active;
+  std::map<TargetId, ReportedLoad> loads;
   /// What engines hold, as read and ordered under the lease; registrations lag
   /// and do not change it.
   std::map<TargetId, KnownInventory> known;
--- a/src/routing/target_board.cc
+++ b/src/routing/target_board.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "pimentospar/digest.h"
+
 namespace pimentospar {
 
 namespace {
@@ -170,8 +172,33 @@
   return std::exp2(-age / half_life);
 }
 
+TargetBoard::Homes TargetBoard::HomesOf(
+    std::span<const Target* const> candidates,
+    const TargetQuery& query) const {
+  Homes homes;
+  if (query.prefix.empty()) {
+    return homes;
+  }
+  std::unordered_map<RegionId, std::uint64_t> highest;
+  const std::uint64_t seed =
+      Hash64(PrefixScope(query.copy).value, query.prefix.back().hash);
+  for (const Target* target : candidates) {
+    if (target->health.IsPoor()) {
+      continue;
+    }
+    const std::uint64_t rank = Hash64(target->description.id.value, seed);
+    const RegionId& region = target->description.region;
+    if (!homes.contains(region) || rank > highest[region]) {
+      homes[region] = target;
+      highest[region] = rank;
+    }
+  }
+  return homes;
+}
+
 TargetBoard::Estimate TargetBoard::EstimateFor(const Target& target,
                                                const TargetQuery& query,
+                                               const Homes& homes,
                                                TimePoint now) const {
   const double decay = this->DecayOf(target, now);
   const double running = target.in_flight + target.others_running * decay;
@@ -183,11 +210,16 @@
         Scale(this->options.call_cost, 0.5 * rounds + std::max(1.0, rounds));
     return {wait, wait + distance, 0};
   }
-  const double cached = std::min<double>(
-      query.prompt_tokens, target.prefixes.ExpectedTokens(
-                               PrefixScope(query.copy), query.prefix, now));
-  const double missing = query.prompt_tokens - cached;
   const double wanted = query.prefix.empty() ? 0 : query.prefix.back().tokens;
+  const auto home = homes.find(target.description.region);
+  const double shared = home != homes.end() && home->second == &target
+                            ? wanted * this->options.home_share
+                            : 0;
+  const double own = target.prefixes.ExpectedTokens(PrefixScope(query.copy),
+                                                    query.prefix, now);
+  const double cached =
+      std::min<double>(query.prompt_tokens, std::max(own, shared));
+  const double missing = query.prompt_tokens - cached;
   const double missed = std::max(0.0, wanted - cached);
   const auto reading = [this](double tokens) {
     return Scale(std::chrono::milliseconds(1),
@@ -232,26 +264,29 @@
 BoardChoice TargetBoard::Choose(const TargetQuery& query) {
   const TimePoint now = this->clock.Now();
   this->ForgetGone(now);
+  std::vector<const Target*> candidates;
+  for (const auto& [id, target] : this->targets) {
+    if (this->Offers(target, query, now) &&
+        std::ranges::find(query.tried, id) == query.tried.end()) {
+      candidates.push_back(&target);
+    }
+  }
+  const Homes homes = this->HomesOf(candidates, query);
   const Target* best = nullptr;
   Estimate best_estimate;
   double best_cost = std::numeric_limits<double>::infinity();
   bool best_is_trial = false;
-  for (const auto& [id, target] : this->targets) {
-    if (!this->Offers(target, query, now) ||
-        std::ranges::find(query.tried, id) != query.tried.end()) {
-      continue;
-    }
-    const Estimate estimate = this->EstimateFor(target, query, now);
-    const double weight = target.health.Weight();
-    const bool trial = query.repeatable && target.health.IsTrialDue(now);
-    double cost = static_cast<double>((estimate.cost + kBaseCost).count()) *
-                  target.pace / (weight * weight) *
-                  (1 + kCostNoise * this->random.Unit());
-    if (trial) {
-      cost = 0;
-    }
+  for (const Target* target : candidates) {
+    const Estimate estimate = this->EstimateFor(*target, query, homes, now);
+    const double weight = target->health.Weight();
+    const bool trial = query.repeatable && target->health.IsTrialDue(now);
+    const double cost =
+        trial ? 0
+              : static_cast<double>((estimate.cost + kBaseCost).count()) *
+                    target->pace / (weight * weight) *
+                    (1 + kCostNoise * this->random.Unit());
     if (cost < best_cost) {
-      best = &target;
+      best = target;
       best_estimate = estimate;
       best_cost = cost;
       best_is_trial = trial;
--- a/src/store_share.cc
+++ b/src/store_share.cc
@@ -63,6 +63,13 @@
   }
 }
 
+void PlannerLease::OnHolderHeard(LogOffset lease) {
+  if (this->IsCurrent(lease)) {
+    this->heard_at = this->clock.Now();
+    this->acquire_at.reset();
+  }
+}
+
 void PlannerLease::OnHolderEnded(InstanceId holder) {
   if (this->current && this->current->instance == holder &&
       holder != this->self) {
