Keep long prompts away from engines for short ones

Change: a third of the engines, the same at every entry, is for short prompts; both kinds cost more at the other's engines, and the planner gives a model copies of both kinds. Late answers are logged with their longest pause.

--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -187,6 +187,10 @@
   [[nodiscard]] bool IsReservedFor(const Engine& engine,
                                    const ModelId& model) const;
   [[nodiscard]] bool IsCrowded(const ServiceCopy& model, double copies) const;
+  /// Returns whether the model lacks a copy at the engines for short prompts,
+  /// or at the others, that a copy here would not bring.
+  [[nodiscard]] bool IsSameKind(const Engine& engine,
+                                const ModelId& model) const;
   [[nodiscard]] bool MayLoad(const EngineSpec& spec,
                              std::chrono::milliseconds load_time);
   void FillReserved(const ServiceSpec& service,
@@ -207,6 +211,8 @@
   CopyPlannerOptions options;
   std::vector<ServiceSpec> services;
   std::map<TargetId, Engine> engines;
+  /// Engines of all services that should serve short prompts.
+  std::set<TargetId> for_short;
   std::map<ServiceCopy, Interest> interests;
   /// Starts of loads from the store within the window.
   std::deque<TimePoint> store_loads;
--- a/include/pimentospar/routing/target_board.h
+++ b/include/pimentospar/routing/target_board.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -82,6 +83,10 @@
   /// Prefix tokens that are read again count this many times: the memory that
   /// they take twice is priced too.
   double prefix_miss_factor = 2;
+  /// Cost of a long prompt at an engine for short ones, whose streams would
+  /// pause, and of a short prompt at the other engines.
+  Duration long_prompt_cost = std::chrono::milliseconds(300);
+  Duration short_prompt_cost = std::chrono::milliseconds(150);
   /// Share of a prefix that its home is expected to have, as other entries send
   /// it there too.
   double home_share = 0.7;
@@ -238,12 +243,20 @@
   [[nodiscard]] BoardChoice WithoutCandidates(const TargetQuery& query,
                                               TimePoint now) const;
   void ForgetGone(TimePoint now);
+  void SplitEngines(const ServiceId& service, TimePoint now);
+  [[nodiscard]] Duration SplitCost(const Target& target,
+                                   const TargetQuery& query) const;
 
   const Clock& clock;
   RandomSource& random;
   TargetBoardOptions options;
   std::unordered_map<TargetId, Target> targets;
   std::unordered_map<AttemptId, Sent> sent;
+  struct Split {
+    TimePoint made;
+    std::set<TargetId> for_short;
+  };
+  std::unordered_map<ServiceId, Split> splits;
 };
 
 /// Returns whether the inventory has the copy.
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -36,7 +36,9 @@
 constexpr std::chrono::microseconds kTokenWork{300};
 constexpr std::uint32_t kTypicalOutput = 200;
 constexpr std::chrono::microseconds kPromptTokenWork{26};
-// One success in so many is logged; failures all are.
+// A pause between events that callers notice.
+constexpr std::chrono::milliseconds kLongPause{600};
+// One answer in time in so many is logged; late ones and failures all are.
 constexpr std::uint64_t kSuccessSample = 16;
 
 constexpr unsigned kMisdirected = 421;
@@ -426,10 +428,7 @@
       }
     }
     if (!out.empty()) {
-      if (!this->first_byte) {
-        this->first_byte = this->parts.clock.Now() - this->received;
-        this->parts.metrics.RecordFirstTokenTime(*this->first_byte);
-      }
+      this->NoteEvents();
       const bool sent = this->channel.SendChunk(
           this->stream_begun ? std::string_view() : this->stream_head, out);
       this->stream_begun = true;
@@ -447,6 +446,18 @@
   }
 }
 
+void Relay::NoteEvents() {
+  const TimePoint now = this->parts.clock.Now();
+  if (!this->first_byte) {
+    this->first_byte = now - this->received;
+    this->parts.metrics.RecordFirstTokenTime(*this->first_byte);
+  } else {
+    this->longest_pause =
+        std::max(this->longest_pause, now - this->last_event_at);
+  }
+  this->last_event_at = now;
+}
+
 Relay::End Relay::EndStream(Attempt& attempt) {
   attempt.exchange->Release(this->parts.pool);
   const bool sent = this->channel.EndChunks(
@@ -613,7 +624,10 @@
   this->parts.metrics.RecordRequestTime(took);
   if (reason == Reason::kNone) {
     this->parts.metrics.Count(Event::kRequestCompleted);
-    if (this->parts.random.Below(kSuccessSample) != 0) {
+    const bool late = this->longest_pause > kLongPause ||
+                      (this->route != nullptr &&
+                       this->first_byte.value_or(took) > this->route->goal);
+    if (!late && this->parts.random.Below(kSuccessSample) != 0) {
       return;
     }
   }
@@ -629,6 +643,7 @@
        {"sends", this->sends},
        {"runs", this->runs},
        {"ms", Milliseconds(took)},
+       {"pause_ms", Milliseconds(this->longest_pause)},
        {"first_ms", this->first_byte ? Milliseconds(*this->first_byte) : -1},
        {"config",
         this->table == nullptr ? 0 : this->table->Config().version.value}});
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -106,6 +106,7 @@
   bool Refuse(unsigned status,
               Reason reason,
               std::optional<Duration> retry_after);
+  void NoteEvents();
   void LogEnd(std::string_view outcome, unsigned status, Reason reason);
   [[nodiscard]] Duration Left() const;
   [[nodiscard]] bool IsLate() const { return this->Left() <= Duration(0); }
@@ -129,6 +130,8 @@
   std::uint32_t runs = 0;
   Exchange* current = nullptr;
   std::optional<Duration> first_byte;
+  TimePoint last_event_at{};
+  Duration longest_pause{0};
   bool counted = false;
 };
 
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -3,12 +3,17 @@
 #include <algorithm>
 #include <cmath>
 
+#include "pimentospar/routing/prompt_split.h"
+
 namespace pimentospar {
 
 namespace {
 
 // Gain of the first copy of a model that requests wait for: above any other.
 constexpr double kFirstCopyGain = 100;
+// Loss of a copy beside others at engines for prompts of one length, while the
+// other engines have none.
+constexpr double kSameKindLoss = 0.05;
 // Loss of any copy: free room goes first.
 constexpr double kUnloadLoss = 0.01;
 // Loss of the last copy of a model in use.
@@ -96,6 +101,32 @@
   }
   std::erase_if(this->engines,
                 [&](const auto& entry) { return !seen.contains(entry.first); });
+  this->for_short.clear();
+  for (const ServiceSpec& service : this->services) {
+    std::vector<TargetId> ids;
+    for (const auto& [id, engine] : this->engines) {
+      if (engine.service == service.id && engine.usable) {
+        ids.push_back(id);
+      }
+    }
+    this->for_short.merge(ShortPromptEngines(ids));
+  }
+}
+
+bool CopyPlanner::IsSameKind(const Engine& engine, const ModelId& model) const {
+  const bool kind = this->for_short.contains(engine.id);
+  bool has_same = false;
+  for (const auto& [id, other] : this->engines) {
+    if (other.service != engine.service || !other.usable ||
+        FindModel(other.models, model) == nullptr) {
+      continue;
+    }
+    if (this->for_short.contains(id) != kind) {
+      return false;
+    }
+    has_same = true;
+  }
+  return has_same;
 }
 
 CopyPlanner::Interest& CopyPlanner::InterestIn(const ServiceCopy& copy) {
@@ -310,6 +341,7 @@
       continue;
     }
     const bool at_hand = engine.at_hand.contains(model.id);
+    const double same = this->IsSameKind(engine, model.id) ? kSameKindLoss : 0;
     if (engine.reserved && now < engine.reserved_until &&
         !this->IsReservedFor(engine, model.id)) {
       continue;
@@ -322,7 +354,7 @@
                                          this->CopiesOf(copy, true), 1));
       }
       // The least loaded of several with room.
-      consider({&engine, std::nullopt, load / 1000, at_hand});
+      consider({&engine, std::nullopt, same + load / 1000, at_hand});
       continue;
     }
     for (const LoadedModel& loaded : engine.models) {
@@ -335,7 +367,8 @@
         continue;
       }
       consider({&engine, loaded.model,
-                kUnloadLoss + this->LossOf(engine, loaded.model), at_hand});
+                same + kUnloadLoss + this->LossOf(engine, loaded.model),
+                at_hand});
     }
   }
   return best;
--- a/src/routing/target_board.cc
+++ b/src/routing/target_board.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "pimentospar/digest.h"
+#include "pimentospar/routing/prompt_split.h"
 
 namespace pimentospar {
 
@@ -14,6 +15,8 @@
 constexpr double kCostNoise = 0.15;
 // Keeps the ratio of costs finite for idle targets.
 constexpr std::chrono::milliseconds kBaseCost{20};
+// Engines come and go seldom; sorting them is not done for each request.
+constexpr std::chrono::milliseconds kSplitPeriod{500};
 // How much one seen time changes the pace of a target.
 constexpr double kPaceGain = 0.2;
 constexpr double kSlowestPace = 8;
@@ -172,6 +175,34 @@
   return std::exp2(-age / half_life);
 }
 
+void TargetBoard::SplitEngines(const ServiceId& service, TimePoint now) {
+  Split& split = this->splits[service];
+  if (split.made != TimePoint{} && now - split.made < kSplitPeriod) {
+    return;
+  }
+  std::vector<TargetId> engines;
+  for (const auto& [id, target] : this->targets) {
+    if (target.description.service == service && this->IsUsable(target, now)) {
+      engines.push_back(id);
+    }
+  }
+  split = {now, ShortPromptEngines(engines)};
+}
+
+Duration TargetBoard::SplitCost(const Target& target,
+                                const TargetQuery& query) const {
+  const auto split = this->splits.find(query.service);
+  const bool for_short =
+      split != this->splits.end() &&
+      split->second.for_short.contains(target.description.id);
+  const bool is_long = query.prompt_tokens >= kLongPromptTokens;
+  if (for_short == !is_long) {
+    return Duration(0);
+  }
+  return is_long ? this->options.long_prompt_cost
+                 : this->options.short_prompt_cost;
+}
+
 TargetBoard::Homes TargetBoard::HomesOf(
     std::span<const Target* const> candidates,
     const TargetQuery& query) const {
@@ -231,7 +262,8 @@
       Scale(this->options.waiting_cost, target.others_waiting * decay);
   const Duration extra =
       reading(missed * (this->options.prefix_miss_factor - 1));
-  return {expected, expected + extra + distance,
+  return {expected,
+          expected + extra + distance + this->SplitCost(target, query),
           static_cast<std::uint32_t>(missing)};
 }
 
@@ -264,6 +296,9 @@
 BoardChoice TargetBoard::Choose(const TargetQuery& query) {
   const TimePoint now = this->clock.Now();
   this->ForgetGone(now);
+  if (!query.copy.model.IsEmpty()) {
+    this->SplitEngines(query.service, now);
+  }
   std::vector<const Target*> candidates;
   for (const auto& [id, target] : this->targets) {
     if (this->Offers(target, query, now) &&
