--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -70,6 +70,10 @@
     const IoResult accepted = Await([&](auto handler) {
       this->acceptor.async_accept(connection->socket, std::move(handler));
     });
+    if (accepted.error == boost::asio::error::operation_aborted) {
+      // The acceptor is gone, and this object with it.
+      return;
+    }
     if (!accepted.IsGood()) {
       LogWarning("accept_failed", {{"error", accepted.error.message()}});
       boost::this_fiber::sleep_for(kAcceptPause);
--- a/src/gateway/lease_duty.h
+++ b/src/gateway/lease_duty.h
@@ -40,6 +40,8 @@
   /// Another process says that it acts under this lease. While it does, the log
   /// is not read.
   void OnOtherLease(LogOffset other);
+  /// Returns whether the holder was heard, so that nothing need be read.
+  [[nodiscard]] bool HearsHolder() const;
   /// A target has seen a newer lease.
   void OnFenced();
   /// Takes no new lease; the one that is held is kept until it lapses.
@@ -47,8 +49,6 @@
 
  private:
   void Run();
-  /// Returns whether the holder was heard, so that nothing need be read.
-  [[nodiscard]] bool HearsHolder() const;
   [[nodiscard]] bool Act();
   [[nodiscard]] LogStatus Read(std::chrono::milliseconds wait);
   void Feed(std::string_view record, LogOffset offset);
