--- a/include/pimentospar/routing/target_board.h
+++ b/include/pimentospar/routing/target_board.h
@@ -161,8 +161,8 @@
 
   void OnTarget(const TargetDescription& target);
   /// The target's registration is gone; it takes no request from `gone_at` on
-  /// unless it registers again before.
-  void OnRemoved(const TargetId& target, TimePoint gone_at);
+  /// unless it registers again before. Returns false if that was known.
+  bool OnRemoved(const TargetId& target, TimePoint gone_at);
   void OnInventory(const TargetId& target,
                    const Inventory& inventory,
                    InventorySource source);
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 // A message of the largest datagram; anything beyond is not one of ours.
-constexpr std::uint64_t kMaxWords = 64 * 1024;
+constexpr std::uint64_t kMaxWords = 64ULL * 1024;
 
 std::string Text(capnp::Text::Reader text) {
   return {text.cStr(), text.size()};
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -294,21 +294,7 @@
 void Gateway::OnTarget(const KeyedItem& item) {
   const TargetId id(item.key);
   if (!item.value) {
-    const TimePoint now = this->clock.Now();
-    // While the log was away, registrations of living targets lapse too.
-    const TimePoint gone_at =
-        std::max(now, this->targets_regained_at +
-                          (this->targets_regained_at == TimePoint{}
-                               ? Duration(0)
-                               : Duration(this->settings.registration_return)));
-    LogInfo(
-        "target_removed",
-        {{"target", item.key},
-         {"gone_in_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(gone_at - now)
-              .count()}});
-    this->board.OnRemoved(id, gone_at);
-    this->untold.push_back({id, {}});
+    this->OnTargetGone(id);
     return;
   }
   leaf::try_handle_all(
@@ -333,13 +319,32 @@
       [&](const FormatError& error) {
         LogWarning("target_unreadable",
                    {{"target", item.key}, {"error", error.detail}});
-        this->board.OnRemoved(id, this->clock.Now());
+        (void)this->board.OnRemoved(id, this->clock.Now());
       },
       [&] {
         LogWarning("target_unreadable", {{"target", item.key}});
       });
 }
 
+void Gateway::OnTargetGone(const TargetId& target) {
+  const TimePoint now = this->clock.Now();
+  // While the log was away, registrations of living targets lapse too.
+  const TimePoint gone_at =
+      this->targets_regained_at
+          ? std::max(now, *this->targets_regained_at +
+                              this->settings.registration_return)
+          : now;
+  if (!this->board.OnRemoved(target, gone_at)) {
+    return;
+  }
+  this->untold.push_back({target, {}});
+  LogInfo("target_removed",
+          {{"target", target.value},
+           {"gone_in_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(gone_at - now)
+                .count()}});
+}
+
 void Gateway::OnEntries(const std::vector<KeyedItem>& all) {
   bool listed = false;
   for (const KeyedItem& item : all) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -83,6 +83,7 @@
   void OnConfig(const KeyedItem& item);
   void OnTargets(const std::vector<KeyedItem>& all);
   void OnTarget(const KeyedItem& item);
+  void OnTargetGone(const TargetId& target);
   void OnEntries(const std::vector<KeyedItem>& all);
   void OnEntry(const KeyedItem& item);
   void Register();
@@ -125,7 +126,7 @@
   Front operators;
   bool draining = false;
   TimePoint drain_started{};
-  TimePoint targets_regained_at{};
+  std::optional<TimePoint> targets_regained_at;
   std::vector<RegistrationChange> untold;
   std::uint64_t told_count = 0;
   std::optional<InstanceId> feed_instance;
--- a/src/routing/target_board.cc
+++ b/src/routing/target_board.cc
@@ -74,11 +74,13 @@
   this->OnInventory(target.id, inventory, InventorySource::kRegistration);
 }
 
-void TargetBoard::OnRemoved(const TargetId& target, TimePoint gone_at) {
+bool TargetBoard::OnRemoved(const TargetId& target, TimePoint gone_at) {
   const auto found = this->targets.find(target);
-  if (found != this->targets.end() && !found->second.gone_at) {
-    found->second.gone_at = gone_at;
+  if (found == this->targets.end() || found->second.gone_at) {
+    return false;
   }
+  found->second.gone_at = gone_at;
+  return true;
 }
 
 void TargetBoard::OnInventory(const TargetId& target,
@@ -139,7 +141,7 @@
 }
 
 void TargetBoard::OnReplaced(const TargetId& target) {
-  this->OnRemoved(target, this->clock.Now());
+  (void)this->OnRemoved(target, this->clock.Now());
 }
 
 bool TargetBoard::IsUsable(const Target& target, TimePoint now) const {
--- a/test/target_board_test.cc
+++ b/test/target_board_test.cc
@@ -81,7 +81,9 @@
   this->board.OnTarget(leaving);
   BOOST_TEST(this->ChosenName(this->Query()).empty());
   this->board.OnTarget(Target("t"));
-  this->board.OnRemoved(TargetId("t"), this->clock.Now() + seconds(2));
+  BOOST_TEST(
+      this->board.OnRemoved(TargetId("t"), this->clock.Now() + seconds(2)));
+  BOOST_TEST(!this->board.OnRemoved(TargetId("t"), this->clock.Now()));
   BOOST_TEST(this->ChosenName(this->Query()) == "t");
   this->clock.Advance(seconds(2));
   BOOST_TEST(this->ChosenName(this->Query()).empty());
@@ -89,7 +91,7 @@
 
 BOOST_FIXTURE_TEST_CASE(KeepsATargetThatRegistersAgain, Fixture) {
   this->board.OnTarget(Target("t"));
-  this->board.OnRemoved(TargetId("t"), this->clock.Now() + seconds(2));
+  (void)this->board.OnRemoved(TargetId("t"), this->clock.Now() + seconds(2));
   this->board.OnTarget(Target("t"));
   this->clock.Advance(seconds(3));
   BOOST_TEST(this->ChosenName(this->Query()) == "t");
