Test the translation of the platform

Framed records, lost and refused calls, expired records, pages, orders and their answers, reports with adapters on their way, request and answer headers, the configuration, strange registrations and faulty settings: 14 cases against a scripted server of ours.

--- a/src/gateway/entry_link.cc
+++ b/src/gateway/entry_link.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t kLargestDatagram = 64 * 1024;
+constexpr std::size_t kLargestDatagram = 65536;
 // A holder that was not heard for so long may have lost its lease.
 constexpr std::chrono::milliseconds kPlannerSilence{2500};
 
--- a/src/gateway/fiber_loop.cc
+++ b/src/gateway/fiber_loop.cc
@@ -12,7 +12,7 @@
 
 // Frames of Beast's parsers and of JSON need less than half of it; pages that
 // are never touched take no memory.
-constexpr std::size_t kStackBytes = 64 * 1024;
+constexpr std::size_t kStackBytes = 65536;
 constexpr std::size_t kStacksPerChunk = 8;
 
 // Round robin over the ready fibers; waits in the event loop while there are
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -82,7 +82,6 @@
                  const GatewayPlatform& platform)
     : loop(loop),
       clock(clock),
-      random(random),
       settings(settings),
       platform(platform),
       instance{random.Next()},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -104,7 +104,6 @@
 
   FiberLoop& loop;
   const Clock& clock;
-  RandomSource& random;
   GatewaySettings settings;
   GatewayPlatform platform;
   InstanceId instance;
--- /dev/null
+++ b/test/gateway/platform_test.cc
@@ -0,0 +1,276 @@
+#define BOOST_TEST_MODULE platform
+#include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "platform/control.h"
+#include "platform/headers.h"
+#include "platform/registry.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+#include "support.h"
+
+namespace pimentospar::platform {
+namespace {
+
+using test::Contains;
+using test::Loop;
+using test::RawConnection;
+using test::ScriptedTarget;
+
+std::string Http(unsigned status, std::string_view body) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         std::string(body);
+}
+
+// A server that gives one answer, or none.
+struct Fixture {
+  Alarms alarms{Loop()};
+  UpstreamPool pool{Loop(), alarms, {}};
+  HttpCaller http{pool, alarms};
+  std::optional<std::string> answer;
+  ScriptedTarget server{[this](RawConnection& connection, const std::string&) {
+    if (this->answer) {
+      connection.Write(*this->answer);
+    }
+    return this->answer.has_value();
+  }};
+  Store store{http, server.Address()};
+  Control control{http, "h"};
+
+  TargetDescription Target() const {
+    TargetDescription target;
+    target.id = TargetId("i-1");
+    target.address = this->server.Address();
+    target.inventory.started = 7;
+    return target;
+  }
+};
+
+template <typename Value>
+std::optional<Value> Good(leaf::result<Value> result) {
+  return result ? std::optional<Value>(std::move(*result)) : std::nullopt;
+}
+
+BOOST_FIXTURE_TEST_CASE(AppendsFramedRecords, Fixture) {
+  this->answer = Http(200, R"({"offset":4,"end":5})");
+  BOOST_TEST(
+      (this->store.AppendKeyed("keyed.x", "k", "v") == LogStatus::kDone));
+  const std::string& sent = this->server.Requests().at(0);
+  BOOST_TEST(
+      sent.starts_with("POST /api/log-append?topic=keyed.x&part=0 HTTP/1.1"));
+  BOOST_TEST(sent.ends_with(std::string("\r\n\r\n\0\0\0\3\1kv", 11)));
+}
+
+BOOST_FIXTURE_TEST_CASE(TellsLostAnswersFromRefusals, Fixture) {
+  for (const unsigned status : {409U, 412U, 429U, 503U, 507U}) {
+    this->answer = Http(status, "{}");
+    BOOST_TEST((this->store.Append("t", "r") == LogStatus::kRefused));
+  }
+  this->answer.reset();
+  BOOST_TEST((this->store.Append("t", "r") == LogStatus::kUnknown));
+  BOOST_TEST((this->store.Read("t", {0}, {}).status == LogStatus::kUnknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(ReadsRecords, Fixture) {
+  const std::string head("\0\0\0\0\0\0\0\x9\0\0\0\0\0\0\0\x2", 16);
+  this->answer = Http(200, head + std::string("\0\0\0\2ab\0\0\0\1c", 11));
+  const LogRead read = this->store.Read("t", {7}, {});
+  BOOST_TEST((read.status == LogStatus::kDone));
+  BOOST_TEST(read.end.value == 9U);
+  BOOST_TEST(read.first.value == 2U);
+  BOOST_REQUIRE(read.records.size() == 2U);
+  BOOST_TEST(read.records[0] == "ab");
+  BOOST_TEST(read.records[1] == "c");
+  this->answer = Http(200, head + std::string("\0\0\0\5ab", 6));
+  BOOST_TEST((this->store.Read("t", {7}, {}).status == LogStatus::kUnknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(TellsExpiredRecords, Fixture) {
+  this->answer = Http(410, R"({"first":12})");
+  const LogRead read = this->store.Read("t", {7}, {});
+  BOOST_TEST((read.status == LogStatus::kExpired));
+  BOOST_TEST(read.first.value == 12U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ReadsPagesOfKeys, Fixture) {
+  this->answer = Http(
+      200,
+      R"({"items":[{"key":"a","value":"aGVsbG8=","offset":4}],"more":true,"end":6})");
+  const KeyedPage page = this->store.Newest("keyed.op", "");
+  BOOST_TEST((page.status == LogStatus::kDone));
+  BOOST_TEST(page.more);
+  BOOST_TEST(page.end.value == 6U);
+  BOOST_TEST(*page.items.at(0).value == "hello");
+  this->answer = Http(200, "not json");
+  BOOST_TEST(
+      (this->store.Newest("keyed.op", "").status == LogStatus::kUnknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(SplitsKeyedRecords, Fixture) {
+  const auto item = this->store.ToItem(std::string("\2abvalue"), {3});
+  BOOST_REQUIRE(item);
+  BOOST_TEST(item->key == "ab");
+  BOOST_TEST(*item->value == "value");
+  BOOST_TEST(!this->store.ToItem(std::string("\2ab"), {3})->value);
+  BOOST_TEST(!this->store.ToItem(std::string("\x9"
+                                             "ab"),
+                                 {3}));
+  BOOST_TEST(!this->store.ToItem("", {3}));
+}
+
+BOOST_FIXTURE_TEST_CASE(GivesOrders, Fixture) {
+  const std::map<unsigned, OrderAnswer> answers = {
+      {200, OrderAnswer::kHolds},       {202, OrderAnswer::kAccepted},
+      {409, OrderAnswer::kConflict},    {412, OrderAnswer::kFenced},
+      {421, OrderAnswer::kOtherTarget}, {400, OrderAnswer::kRejected}};
+  const PlannedOrder order{
+      TargetId("i-1"), OrderKind::kLoad, {ModelId("m"), AdapterId("a1")}};
+  for (const auto& [status, expected] : answers) {
+    this->answer = Http(status, "");
+    BOOST_TEST((this->control.Give(this->Target(), order, 4, {9}) == expected));
+  }
+  const std::string& sent = this->server.Requests().at(0);
+  BOOST_TEST(Contains(sent, "X-Pimentospar-Expect-Instance: i-1\r\n"));
+  const auto body = boost::json::parse(sent.substr(sent.find('{')));
+  const boost::json::value expected = {{"op", "load"}, {"model", "m"},
+                                       {"expect", 4U}, {"holder", "h"},
+                                       {"fence", 9U},  {"adapter", "a1"}};
+  BOOST_TEST((body == expected));
+  this->answer.reset();
+  BOOST_TEST((this->control.Give(this->Target(), order, 4, {9}) ==
+              OrderAnswer::kNoAnswer));
+}
+
+// Adapters on their way take their place already.
+BOOST_FIXTURE_TEST_CASE(ReadsReports, Fixture) {
+  this->answer = Http(
+      200,
+      R"({"born":7,"seq":3,"busy":true,"running":2,"waiting":1,"coming":["m/a2@1"],)"
+      R"("models":[{"name":"m","version":1,"adapters":["a1"]}]})");
+  const auto report = this->control.Report(this->Target());
+  BOOST_REQUIRE(report);
+  BOOST_TEST(report->busy);
+  BOOST_TEST(report->inventory.started == 7);
+  BOOST_TEST(report->inventory.orders == 3U);
+  BOOST_TEST(report->load.running == 2U);
+  BOOST_TEST(Holds(report->inventory, {ModelId("m"), AdapterId("a1")}));
+  BOOST_TEST(Holds(report->inventory, {ModelId("m"), AdapterId("a2")}));
+  this->answer = Http(200, R"({"busy":"yes"})");
+  BOOST_TEST(!this->control.Report(this->Target()));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsRequestHeaders) {
+  HttpFields fields;
+  fields.set("X-Pimentospar-Request-Id", "r1");
+  fields.set("X-Pimentospar-Deadline-Ms", "2500");
+  fields.set("X-Pimentospar-Model", "m/a3");
+  fields.set("X-Pimentospar-Tokens", "1460,80");
+  fields.set("X-Pimentospar-Prompt-Prefix", "5c:800,91:410,e4:250");
+  fields.set("Last-Event-Id", "12");
+  const RequestMeta meta = Headers().ReadRequest(fields);
+  BOOST_TEST(meta.id == "r1");
+  BOOST_TEST(meta.deadline->count() == 2500);
+  BOOST_TEST(meta.copy.model.value == "m");
+  BOOST_TEST(meta.copy.adapter.value == "a3");
+  BOOST_TEST(meta.prompt_tokens == 1460U);
+  BOOST_TEST(meta.max_tokens == 80U);
+  BOOST_TEST(*meta.last_event == 12U);
+  BOOST_REQUIRE(meta.prefix.size() == 2U);
+  BOOST_TEST(meta.prefix[1].tokens == 1210U);
+  BOOST_TEST(meta.prefix[0].hash != meta.prefix[1].hash);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsHeadersOfTheSystemFromCallers) {
+  const Headers headers;
+  for (const char* name :
+       {"x-pimentospar-hold", "X-Pimentospar-Pin-Ms", "Kv-From", "kv-fetch",
+        "X-Pimentospar-Kv-Backup", "X-Pimentospar-Expect-Instance",
+        "X-Pimentospar-Req-Priority", "X-Pimentospar-Deadline-Ms"}) {
+    BOOST_TEST(headers.IsReserved(name), name);
+  }
+  BOOST_TEST(!headers.IsReserved("X-Pimentospar-Model"));
+}
+
+BOOST_AUTO_TEST_CASE(KnowsAnotherTargetAtTheAddress) {
+  HttpFields fields;
+  fields.set("X-Pimentospar-Instance", "i-2");
+  const Headers headers;
+  BOOST_TEST(headers.ReadAnswer(421, fields, TargetId("i-1")).is_other_target);
+  BOOST_TEST(!headers.ReadAnswer(421, fields, TargetId("i-2")).is_other_target);
+  BOOST_TEST(!headers.ReadAnswer(200, fields, TargetId("i-1")).is_other_target);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsTheConfiguration) {
+  const auto config = Good(Registry({}).ReadConfig(
+      R"({"version":7,"routes":[)"
+      R"({"name":"r","host":"a.example","path_prefix":"/x/","kind":"stream",)"
+      R"("timeout_ms":6000,"goal_ms":1000,"priority":1,"attempts":2,"resumable":true,)"
+      R"("split":[{"service":"s","weight":90},{"service":"t","weight":10}]}],)"
+      R"("services":[{"name":"s","engine":{"slots":64,"weights_mb":200000.0,)"
+      R"("adapter_slots":8,"loads_per_s":2.1,"models":[{"name":"m","weights_mb":65500.5,)"
+      R"("load_s":1.2,"adapters":28,"adapter_mb":40.0}]}},{"name":"t"}],)"
+      R"("limits":{"max_header_bytes":1000,"max_body_bytes":2000,)"
+      R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})"));
+  BOOST_REQUIRE(config);
+  BOOST_TEST(config->version.value == 7U);
+  BOOST_TEST(config->routes[0].services.size() == 2U);
+  BOOST_TEST(config->routes[0].IsRepeatable());
+  const ModelSpec& model = config->services[0].engine->models[0];
+  BOOST_TEST(model.weight_bytes == 65'500'500'000U);
+  BOOST_TEST(model.load_time.count() == 1200);
+  BOOST_TEST(!config->services[1].engine);
+  BOOST_TEST(config->limits.body_bytes == 2000U);
+  BOOST_TEST(!Good(Registry({}).ReadConfig("{}")));
+  BOOST_TEST(!Good(Registry({}).ReadConfig("no")));
+}
+
+// An entry of another writer names no target and harms no other.
+BOOST_AUTO_TEST_CASE(ReadsRegistrationsAndRefusesStrangeOnes) {
+  const Registry registry({{DataCentreId("z"), RegionId("r")}});
+  const std::string good =
+      R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":6,"state":"ready",)"
+      R"("born":5,"seq":99,"models":[{"name":"m","version":1,"adapters":["a1"]}]})";
+  const auto target = Good(registry.ReadTarget(TargetId("i"), good));
+  BOOST_REQUIRE(target);
+  BOOST_TEST(target->region.value == "r");
+  BOOST_TEST(target->inventory.started == 5);
+  BOOST_TEST(target->inventory.orders == 0U);
+  BOOST_TEST(!target->draining);
+  for (const char* strange :
+       {"", "[]", R"({"service":"s"})",
+        R"({"service":"s","addr":7,"zone":"z","state":"ready"})",
+        R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"dancing"})",
+        R"({"service":"s","addr":"nowhere","zone":"z","state":"ready"})"}) {
+    BOOST_TEST(!Good(registry.ReadTarget(TargetId("i"), strange)), strange);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ChecksSettings) {
+  const std::string good =
+      "host = \"h\"\nregion = \"r\"\ndata_centre = \"d\"\n[address]\n"
+      "caller = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n"
+      "operator = \"127.0.0.1:3\"\nentry = \"127.0.0.1:4\"\n"
+      "store = \"127.0.0.1:5\"\n[bounds]\nretry_ratio = 0.2\n"
+      "retry_slack = 58\nretry_window_s = 10\ntargets_check_leases = true\n"
+      "grace_s = 8\n[regions]\nd = \"r\"\n";
+  const auto settings = Good(ReadSettings(good, "good"));
+  BOOST_REQUIRE(settings);
+  BOOST_TEST(settings->gateway.grace_time.count() == 8000);
+  BOOST_TEST(settings->gateway.targets_check_leases);
+  std::vector<std::string> faults;
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_CHECK(
+            ReadSettings("host = \"h\"\n[address]\ncaller = \"x\"\n", "bad"));
+        return {};
+      },
+      [&](const SettingsFaults& found) { faults = found.faults; }, [] {});
+  BOOST_TEST(std::ranges::count(faults, "address.caller: is not IP:PORT") == 1);
+  BOOST_TEST(std::ranges::count(faults, "region: a text is missing") == 1);
+  BOOST_TEST(!Good(ReadSettings("= nonsense", "bad")));
+}
+
+}  // namespace
+}  // namespace pimentospar::platform
