--- a/test/reason_test.cc
+++ b/test/reason_test.cc
@@ -13,7 +13,7 @@
 // Guards against a reason that callers see and the operators' page does not
 // explain, or explains with another status.
 BOOST_AUTO_TEST_CASE(TheOperatorsPageHasEachReason) {
-  std::ifstream file(PIMENTOSPAR_SOURCE_DIR "/docs/operations.md");
+  std::ifstream file(PIMENTOSPAR_SOURCE_DIR "/docs/OPERATIONS.md");
   std::ostringstream page;
   page << file.rdbuf();
   for (const ReasonInfo& info : ReasonTable()) {
