--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -159,8 +159,7 @@
 }
 
 bool Front::Answer(Connection& connection, Parser& parser) {
-  CallerRequest request{parser.release(), std::chrono::steady_clock::now(),
-                        false};
+  CallerRequest request{parser.release(), false};
   request.close_after = this->draining || !request.message.keep_alive();
   ++this->in_flight;
   bool usable = false;
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -19,7 +19,6 @@
 /// A request as a caller sent it, read to its end.
 struct CallerRequest {
   boost::beast::http::request<boost::beast::http::string_body> message;
-  std::chrono::steady_clock::time_point received;
   /// Whether the connection is to be closed after the answer.
   bool close_after = false;
 };
@@ -29,6 +28,7 @@
 using CallerHandler = std::function<bool(CallerRequest&, CallerChannel&)>;
 
 /// Accepts callers at one address and reads their requests one after the other.
+/// Lives until the program ends, like the fibers of its connections.
 class Front {
  public:
   Front(FiberLoop& loop,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::string_view kEntryStream = "keyed.entries";
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 
@@ -121,7 +120,7 @@
                      clock,
                      random,
                      platform.log,
-                     {std::string(kEntryStream),
+                     {std::string(platform.registry.EntryStream()),
                       [] {
                         return FollowerPace{kEntryWait, {}};
                       }},
@@ -371,7 +370,8 @@
   constexpr std::chrono::milliseconds kPause{500};
   const std::string address = ToText(this->link.LocalAddress());
   while (!this->draining &&
-         this->platform.log.AppendKeyed(kEntryStream, this->settings.host.value,
+         this->platform.log.AppendKeyed(this->platform.registry.EntryStream(),
+                                        this->settings.host.value,
                                         address) != LogStatus::kDone) {
     LogWarning("register_failed", {{"address", address}});
     boost::this_fiber::sleep_for(kPause);
@@ -379,8 +379,9 @@
 }
 
 void Gateway::Unregister() {
-  const LogStatus status = this->platform.log.AppendKeyed(
-      kEntryStream, this->settings.host.value, std::nullopt);
+  const LogStatus status =
+      this->platform.log.AppendKeyed(this->platform.registry.EntryStream(),
+                                     this->settings.host.value, std::nullopt);
   if (status != LogStatus::kDone) {
     LogWarning("unregister_failed", {{"status", ToString(status)}});
   }
--- a/src/gateway/http_call.cc
+++ b/src/gateway/http_call.cc
@@ -39,10 +39,10 @@
 
 std::optional<HttpAnswer> HttpCaller::Call(const HttpCall& call,
                                            Duration limit) {
-  const auto start = std::chrono::steady_clock::now();
+  const TimePoint start = this->clock.Now();
   if (auto idle = this->pool.TakeIdle(call.address)) {
     auto answer = this->CallOver(std::move(idle), call, limit);
-    const bool timed_out = std::chrono::steady_clock::now() - start >= limit;
+    const bool timed_out = this->clock.Now() - start >= limit;
     if (answer || call.method != "GET" || timed_out) {
       return answer;
     }
--- a/src/gateway/http_call.h
+++ b/src/gateway/http_call.h
@@ -28,7 +28,8 @@
 /// Makes small calls whose answers are read to the end.
 class HttpCaller {
  public:
-  HttpCaller(UpstreamPool& pool, Alarms& alarms) : pool(pool), alarms(alarms) {}
+  HttpCaller(UpstreamPool& pool, Alarms& alarms, const Clock& clock)
+      : pool(pool), alarms(alarms), clock(clock) {}
 
   /// Suspends the fiber; returns nothing if no whole answer comes in time. A
   /// `GET` that fails on a connection that was used before is sent again.
@@ -43,6 +44,7 @@
 
   UpstreamPool& pool;
   Alarms& alarms;
+  const Clock& clock;
 };
 
 }  // namespace pimentospar
--- a/src/gateway/registry_format.h
+++ b/src/gateway/registry_format.h
@@ -26,6 +26,8 @@
   [[nodiscard]] virtual std::string_view ConfigStream() const = 0;
   [[nodiscard]] virtual std::string_view ConfigKey() const = 0;
   [[nodiscard]] virtual std::string_view TargetStream() const = 0;
+  /// The stream on which the entries register.
+  [[nodiscard]] virtual std::string_view EntryStream() const = 0;
 
   /// Fails with `FormatError`.
   [[nodiscard]] virtual leaf::result<RoutingConfig> ReadConfig(
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -72,7 +72,7 @@
     return nullptr;
   }
   Idle& connections = found->second;
-  const auto now = std::chrono::steady_clock::now();
+  const TimePoint now = this->clock.Now();
   while (!connections.empty()) {
     // The most recently used one, so that the others can end.
     auto connection = std::move(connections.back());
@@ -113,7 +113,7 @@
 void UpstreamPool::Keep(std::unique_ptr<UpstreamConnection> connection,
                         std::optional<std::chrono::seconds> idle_time) {
   this->CloseExpired();
-  const auto now = std::chrono::steady_clock::now();
+  const TimePoint now = this->clock.Now();
   const Duration kept = idle_time
                             ? Duration(*idle_time) - this->options.idle_margin
                             : this->options.idle_time;
@@ -128,7 +128,7 @@
 }
 
 void UpstreamPool::CloseExpired() {
-  const auto now = std::chrono::steady_clock::now();
+  const TimePoint now = this->clock.Now();
   if (now - this->swept < std::chrono::seconds(1)) {
     return;
   }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -28,7 +28,7 @@
   boost::beast::flat_buffer buffer;
   std::string address;
   /// The peer may close it from then on.
-  std::chrono::steady_clock::time_point usable_until;
+  TimePoint usable_until;
 };
 
 struct UpstreamOptions {
@@ -45,8 +45,11 @@
 /// Idle connections by address.
 class UpstreamPool {
  public:
-  UpstreamPool(FiberLoop& loop, Alarms& alarms, UpstreamOptions options)
-      : loop(loop), alarms(alarms), options(options) {}
+  UpstreamPool(FiberLoop& loop,
+               Alarms& alarms,
+               const Clock& clock,
+               UpstreamOptions options)
+      : loop(loop), alarms(alarms), clock(clock), options(options) {}
 
   /// Returns an idle connection, or nothing.
   [[nodiscard]] std::unique_ptr<UpstreamConnection> TakeIdle(
@@ -67,9 +70,10 @@
 
   FiberLoop& loop;
   Alarms& alarms;
+  const Clock& clock;
   UpstreamOptions options;
   std::unordered_map<std::string, Idle> idle;
-  std::chrono::steady_clock::time_point swept;
+  TimePoint swept;
 };
 
 /// What the next part of a body is.
--- a/test/gateway/platform_test.cc
+++ b/test/gateway/platform_test.cc
@@ -27,8 +27,9 @@
 // A server that gives one answer, or none.
 struct Fixture {
   Alarms alarms{Loop()};
-  UpstreamPool pool{Loop(), alarms, {}};
-  HttpCaller http{pool, alarms};
+  SystemClock clock;
+  UpstreamPool pool{Loop(), alarms, clock, {}};
+  HttpCaller http{pool, alarms, clock};
   std::optional<std::string> answer;
   ScriptedTarget server{[this](RawConnection& connection, const std::string&) {
     if (this->answer) {
--- a/test/gateway/relay_test.cc
+++ b/test/gateway/relay_test.cc
@@ -123,7 +123,7 @@
   SystemClock clock;
   SeededRandom random{3};
   Alarms alarms{Loop()};
-  UpstreamPool pool{Loop(), alarms, {}};
+  UpstreamPool pool{Loop(), alarms, clock, {}};
   platform::Headers headers;
   TargetBoard board{clock, random, {}};
   FiberSignal board_changed;
@@ -360,6 +360,7 @@
   BOOST_TEST(caller.ReadUntil(Event(1)));
   caller.Close();
   BOOST_TEST(Eventually([&] { return target.Ended() == 1; }));
+  BOOST_TEST(Eventually([&] { return this->front.InFlight() == 0; }));
 }
 
 BOOST_FIXTURE_TEST_CASE(WaitsForAMissingAdapter, Fixture) {
