--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,13 +37,17 @@
 constexpr std::chrono::milliseconds kDrainStep{50};
 // Models are not loaded while a lapsed lease is waited for.
 constexpr std::chrono::milliseconds kLeaseTime{2000};
+// An order that is given as the lease ends arrives this much later.
+constexpr std::chrono::milliseconds kHolderMargin{600};
 constexpr std::chrono::milliseconds kRenewEvery{700};
 constexpr std::chrono::milliseconds kAppendTimeout{700};
 constexpr std::chrono::milliseconds kAcquireSpread{200};
 
 LeaseDutyOptions LeaseOptionsOf(const GatewaySettings& settings) {
   LeaseDutyOptions options;
-  options.lease.duration = kLeaseTime;
+  options.lease.duration = settings.targets_check_leases
+                               ? kLeaseTime
+                               : settings.holder_gap + kHolderMargin;
   options.targets_check_leases = settings.targets_check_leases;
   options.lease.renew_every = kRenewEvery;
   options.lease.append_timeout = kAppendTimeout;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -30,6 +30,9 @@
   RetryWindowOptions retries;
   /// Targets refuse orders under an older lease than they have seen.
   bool targets_check_leases = false;
+  /// Time between orders of two holders that targets which do not check leases
+  /// need.
+  std::chrono::milliseconds holder_gap{3000};
   /// Time from the signal to stop until the process is killed.
   std::chrono::milliseconds grace_time{8000};
   /// Registrations that lapsed while the log was away are back within this
--- a/test/gateway/platform_test.cc
+++ b/test/gateway/platform_test.cc
@@ -255,7 +255,7 @@
       "operator = \"127.0.0.1:3\"\nentry = \"127.0.0.1:4\"\n"
       "store = \"127.0.0.1:5\"\n[bounds]\nretry_ratio = 0.2\n"
       "retry_slack = 58\nretry_window_s = 10\ntargets_check_leases = true\n"
-      "grace_s = 8\n[regions]\nd = \"r\"\n";
+      "grace_s = 8\nlease_ms = 3000\n[regions]\nd = \"r\"\n";
   const auto settings = Good(ReadSettings(good, "good"));
   BOOST_REQUIRE(settings);
   BOOST_TEST(settings->gateway.grace_time.count() == 8000);
