Tell callers when a load or a start can have ended

Change: Retry-After is 2 s without a configuration, without targets and for a model, 0.5 s for an adapter.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -31,7 +31,10 @@
 // A stream that may go on elsewhere does so after this time without an event.
 constexpr std::chrono::milliseconds kEventSilence{1500};
 constexpr std::chrono::milliseconds kRetrySoon{250};
-constexpr std::chrono::milliseconds kRetryAfterLoad{1000};
+// Without a configuration or targets, the log is away or a start is under way.
+constexpr std::chrono::milliseconds kRetryAfterStart{2000};
+constexpr std::chrono::milliseconds kRetryAfterAdapter{500};
+constexpr std::chrono::milliseconds kRetryAfterLoad{2000};
 // Time of an engine that each output token takes beside those of others.
 constexpr std::chrono::microseconds kTokenWork{300};
 constexpr std::uint32_t kTypicalOutput = 200;
@@ -97,7 +100,7 @@
 bool Relay::Run() {
   this->parts.metrics.Count(Event::kRequestStarted);
   if (this->table == nullptr) {
-    return this->Refuse(kUnavailable, Reason::kNotReady, kRetrySoon);
+    return this->Refuse(kUnavailable, Reason::kNotReady, kRetryAfterStart);
   }
   if (!this->FindRoute()) {
     return this->Refuse(kNotFoundStatus, Reason::kNotFound, std::nullopt);
@@ -584,14 +587,23 @@
   }
   if (end == End::kUnsent && this->tried.empty() &&
       reason == Reason::kNoTarget) {
-    const bool wants_copy = !this->Query().copy.model.IsEmpty();
-    return this->Refuse(kUnavailable,
-                        wants_copy ? Reason::kModelLoading : Reason::kNoTarget,
-                        wants_copy ? kRetryAfterLoad : kRetrySoon);
+    return this->RefuseUnplaced();
   }
   return this->Refuse(kUnavailable, reason, kRetrySoon);
 }
 
+bool Relay::RefuseUnplaced() {
+  const TargetQuery query = this->Query();
+  if (query.copy.model.IsEmpty()) {
+    return this->Refuse(kUnavailable, Reason::kNoTarget, kRetryAfterStart);
+  }
+  const BoardChoice choice = this->parts.board.Choose(query);
+  const auto* missing = std::get_if<NeedsCopy>(&choice);
+  const bool only_adapter = missing != nullptr && missing->model_loaded;
+  return this->Refuse(kUnavailable, Reason::kModelLoading,
+                      only_adapter ? kRetryAfterAdapter : kRetryAfterLoad);
+}
+
 bool Relay::Refuse(unsigned status,
                    Reason reason,
                    std::optional<Duration> retry_after) {
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -103,6 +103,8 @@
   [[nodiscard]] bool MayRepeat(End end, Reason reason);
   /// Answers the caller after the last attempt.
   bool Finish(End end, Reason reason);
+  /// Refuses a request that no target could take, with the time of a load.
+  bool RefuseUnplaced();
   bool Refuse(unsigned status,
               Reason reason,
               std::optional<Duration> retry_after);
