--- /dev/null
+++ b/test/gateway/fiber_main.cc
@@ -0,0 +1,14 @@
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <cstdlib>
+
+// Defined by the test module.
+bool init_unit_test();
+
+// The end of the thread would wait for fibers that never end.
+int main(int argc, char** argv) {
+  const int code =
+      boost::unit_test::unit_test_main(&init_unit_test, argc, argv);
+  std::fflush(nullptr);
+  std::_Exit(code);
+}
