--- a/test/copy_planner_test.cc
+++ b/test/copy_planner_test.cc
@@ -10,10 +10,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const ServiceId kService("s");
+const ServiceId service_id("s");
 
 ServiceCopy Copy(const std::string& model, const std::string& adapter = "") {
-  return {kService, {ModelId(model), AdapterId(adapter)}};
+  return {service_id, {ModelId(model), AdapterId(adapter)}};
 }
 
 // Engines with room for two models and two adapters each; orders end when the
@@ -22,7 +22,7 @@
  public:
   explicit Fixture(int engines = 3) {
     ServiceSpec service;
-    service.id = kService;
+    service.id = service_id;
     EngineSpec engine;
     engine.memory_bytes = 200;
     engine.adapter_slots = 2;
@@ -41,7 +41,7 @@
   TargetDescription& Engine(const std::string& name) {
     TargetDescription& target = this->targets[name];
     target.id = TargetId(name);
-    target.service = kService;
+    target.service = service_id;
     target.inventory.started = 1;
     return target;
   }
--- a/test/gateway/fiber_main.cc
+++ b/test/gateway/fiber_main.cc
@@ -2,7 +2,8 @@
 #include <cstdio>
 #include <cstdlib>
 
-// Defined by the test module.
+// Defined by the test module; Boost.Test gives the name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 bool init_unit_test();
 
 // The end of the thread would wait for fibers that never end.
--- a/test/retry_window_test.cc
+++ b/test/retry_window_test.cc
@@ -9,11 +9,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const ServiceId kService("s");
+const ServiceId service_id("s");
 
 std::size_t TakeAll(RetryWindow& window, std::size_t entries) {
   std::size_t taken = 0;
-  while (window.TryTake(kService, entries)) {
+  while (window.TryTake(service_id, entries)) {
     ++taken;
   }
   return taken;
@@ -23,7 +23,7 @@
   ManualClock clock;
   RetryWindow window(clock, {0.2, seconds(10), 50, 1.0});
   for (int i = 0; i < 100; ++i) {
-    window.OnRequest(kService);
+    window.OnRequest(service_id);
   }
   BOOST_TEST(TakeAll(window, 5) == 30U);
   BOOST_TEST(!window.TryTake(ServiceId("other"), 100));
@@ -40,9 +40,9 @@
   for (int step = 0; step < 300; ++step) {
     std::size_t taken = 0;
     for (RetryWindow& entry : entries) {
-      entry.OnRequest(kService);
+      entry.OnRequest(service_id);
       for (int i = 0; i < 3; ++i) {
-        taken += entry.TryTake(kService, kEntries) ? 1 : 0;
+        taken += entry.TryTake(service_id, kEntries) ? 1 : 0;
       }
     }
     repeats.push_back(taken);
--- a/test/target_board_test.cc
+++ b/test/target_board_test.cc
@@ -10,14 +10,14 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const ServiceId kService("s");
-const CopyRef kModel{ModelId("m"), {}};
-const CopyRef kAdapter{ModelId("m"), AdapterId("a1")};
+const ServiceId service_id("s");
+const CopyRef model_copy{ModelId("m"), {}};
+const CopyRef adapter_copy{ModelId("m"), AdapterId("a1")};
 
 TargetDescription Target(const std::string& name) {
   TargetDescription target;
   target.id = TargetId(name);
-  target.service = kService;
+  target.service = service_id;
   target.address = "127.0.0.1:1";
   target.region = RegionId("r");
   target.data_centre = DataCentreId("d");
@@ -39,9 +39,9 @@
   TargetBoard board{clock, random, Options()};
   std::uint64_t last_attempt = 0;
 
-  TargetQuery Query(const CopyRef& copy = kModel) const {
+  TargetQuery Query(const CopyRef& copy = model_copy) const {
     TargetQuery query;
-    query.service = kService;
+    query.service = service_id;
     query.copy = copy;
     query.prompt_tokens = 1000;
     return query;
@@ -66,7 +66,7 @@
       this->board.Choose(this->Query())));
   this->board.OnTarget(Target("t"));
   BOOST_TEST(this->ChosenName(this->Query()) == "t");
-  const BoardChoice adapter = this->board.Choose(this->Query(kAdapter));
+  const BoardChoice adapter = this->board.Choose(this->Query(adapter_copy));
   BOOST_REQUIRE(std::holds_alternative<NeedsCopy>(adapter));
   BOOST_TEST(std::get<NeedsCopy>(adapter).model_loaded);
   const BoardChoice model =
@@ -103,13 +103,13 @@
   const Inventory ordered{1, 1, {{ModelId("m"), {AdapterId("a1")}}}};
   this->board.OnInventory(TargetId("t"), ordered, InventorySource::kPlanner);
   this->board.OnTarget(Target("t"));
-  BOOST_TEST(this->ChosenName(this->Query(kAdapter)) == "t");
+  BOOST_TEST(this->ChosenName(this->Query(adapter_copy)) == "t");
   const Inventory older{1, 0, {}};
   this->board.OnInventory(TargetId("t"), older, InventorySource::kPlanner);
-  BOOST_TEST(this->ChosenName(this->Query(kAdapter)) == "t");
+  BOOST_TEST(this->ChosenName(this->Query(adapter_copy)) == "t");
   this->clock.Advance(seconds(4));
   this->board.OnTarget(Target("t"));
-  BOOST_TEST(this->ChosenName(this->Query(kAdapter)).empty());
+  BOOST_TEST(this->ChosenName(this->Query(adapter_copy)).empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(ForgetsWhatATargetHeldBeforeItsRestart, Fixture) {
@@ -126,7 +126,7 @@
 
 BOOST_FIXTURE_TEST_CASE(LearnsFromRefusalsOfMissingCopies, Fixture) {
   this->board.OnTarget(Target("t"));
-  this->board.OnMissing(TargetId("t"), kModel);
+  this->board.OnMissing(TargetId("t"), model_copy);
   BOOST_TEST(this->ChosenName(this->Query()).empty());
 }
 
