Let the holder's feed be one module, and give a replaced target no more orders

Cause: the answer to an entry whose request waits for a copy named the lease without the count of told changes. The receiver took that, and the heartbeat after it, for lost messages and read the log twice.

Change: HolderFeed makes all messages that name the lease; GatewayMessage code only adds to them. A target that answers as another one is treated as replaced. The line of an ended request names its last target. Code that nothing used is gone; log lines take durations.

--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -127,9 +127,6 @@
   /// Returns the orders to give now.
   [[nodiscard]] std::vector<PlannedOrder> Step();
 
-  /// Returns the orders that have been given and have not ended.
-  [[nodiscard]] std::size_t PendingCount() const;
-
  private:
   struct Engine {
     TargetId id;
--- a/include/pimentospar/routing/target_board.h
+++ b/include/pimentospar/routing/target_board.h
@@ -184,9 +184,7 @@
   [[nodiscard]] std::vector<TargetDescription> Targets() const;
   /// Returns nothing for an unknown target.
   [[nodiscard]] const TargetDescription* Find(const TargetId& target) const;
-  /// Returns the share of all slots of a service that own requests and reported
-  /// loads take.
-  [[nodiscard]] double Utilization(const ServiceId& service) const;
+  /// Returns the own requests that the target runs or has waiting.
   [[nodiscard]] std::size_t InFlight(const TargetId& target) const;
 
  private:
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -21,9 +21,6 @@
 constexpr std::chrono::milliseconds kEntryWait{8000};
 // Pause between reads while the holder of the lease tells what it reads.
 constexpr std::chrono::milliseconds kFedPause{4000};
-// Without word for so long, or with word this old, an entry reads itself.
-constexpr std::chrono::milliseconds kFeedSilence{1200};
-constexpr std::chrono::milliseconds kFeedAge{1500};
 constexpr std::size_t kLoadsPerMessage = 40;
 constexpr std::chrono::milliseconds kHeartbeat{500};
 // Demand is told this often; a copy that requests wait for, at once and again.
@@ -90,6 +87,7 @@
       instance{random.Next()},
       board(clock, random, BoardOptionsOf(settings)),
       retries(clock, settings.retries),
+      feed(clock),
       config_follower(loop,
                       clock,
                       random,
@@ -307,7 +305,7 @@
         if (known == nullptr || known->draining != target.draining ||
             known->address != target.address ||
             known->inventory.started != target.inventory.started) {
-          this->untold.push_back({id, *item.value});
+          this->feed.OnChange({id, *item.value});
           LogInfo("target_known", {{"target", item.key},
                                    {"service", target.service.value},
                                    {"draining", target.draining ? 1 : 0},
@@ -339,12 +337,9 @@
   if (!this->board.OnRemoved(target, gone_at)) {
     return;
   }
-  this->untold.push_back({target, {}});
+  this->feed.OnChange({target, {}});
   LogInfo("target_removed",
-          {{"target", target.value},
-           {"gone_in_ms",
-            std::chrono::duration_cast<std::chrono::milliseconds>(gone_at - now)
-                .count()}});
+          {{"target", target.value}, {"gone_in_ms", gone_at - now}});
 }
 
 void Gateway::OnEntries(const std::vector<KeyedItem>& all) {
@@ -396,7 +391,7 @@
   while (true) {
     (void)this->interest.Asked().WaitFor(kTalkStep);
     this->TellPlanner();
-    if (!this->untold.empty()) {
+    if (this->feed.HasChanges()) {
       this->AnnounceFeed();
     }
     if (this->clock.Now() < next_heartbeat) {
@@ -426,57 +421,40 @@
   }
 }
 
+HolderState Gateway::State() const {
+  return {this->lease.Held(), this->target_follower.Age(),
+          this->routes == nullptr ? ConfigVersion{}
+                                  : this->routes->Config().version};
+}
+
 void Gateway::Announce(std::vector<TargetInventory> inventories) {
-  EntryMessage message;
+  EntryMessage message = this->feed.NewMessage(this->State());
   message.inventories = std::move(inventories);
-  message.lease = this->lease.Held();
-  message.registration_count = this->told_count;
-  message.registration_age = this->target_follower.Age();
-  message.config = this->routes == nullptr ? ConfigVersion{}
-                                           : this->routes->Config().version;
   this->link.SendAll(std::move(message));
 }
 
 void Gateway::AnnounceFeed() {
   if (!this->lease.Held()) {
-    this->untold.clear();
+    this->feed.ForgetChanges();
     return;
   }
   std::vector<TargetLoadReport> loads = this->orders.TakeLoads();
   std::size_t next = 0;
   do {
-    EntryMessage message;
+    EntryMessage message = this->feed.TakeChanges(this->State());
     const std::size_t end = std::min(loads.size(), next + kLoadsPerMessage);
     message.loads.assign(loads.begin() + static_cast<std::ptrdiff_t>(next),
                          loads.begin() + static_cast<std::ptrdiff_t>(end));
     next = end;
-    this->told_count += this->untold.size();
-    message.registrations = std::exchange(this->untold, {});
-    message.lease = this->lease.Held();
-    message.registration_count = this->told_count;
-    message.registration_age = this->target_follower.Age();
-    message.config = this->routes == nullptr ? ConfigVersion{}
-                                             : this->routes->Config().version;
     this->link.SendAll(std::move(message));
   } while (next < loads.size());
 }
 
 bool Gateway::HearsFeed() const {
-  const TimePoint now = this->clock.Now();
-  return !this->lease.Held() && this->feed_instance &&
-         now - this->feed_heard_at < kFeedSilence &&
-         this->feed_age + (now - this->feed_heard_at) < kFeedAge;
+  return !this->lease.Held() && this->feed.IsFresh();
 }
 
 void Gateway::OnFeed(const EntryMessage& message) {
-  const std::uint64_t before =
-      message.registration_count - message.registrations.size();
-  const bool missed =
-      this->feed_instance != message.instance || before != this->feed_count;
-  this->feed_instance = message.instance;
-  this->feed_count = message.registration_count;
-  this->feed_heard_at = this->clock.Now();
-  this->feed_age = message.registration_age;
   for (const RegistrationChange& change : message.registrations) {
     this->OnTarget({change.target.value,
                     change.value.empty()
@@ -487,14 +465,14 @@
   for (const TargetLoadReport& entry : message.loads) {
     this->board.OnLoad(entry.target, entry.load);
   }
-  if (missed) {
+  // Last, since it drops the changes that were just heard.
+  if (!this->feed.OnMessage(message)) {
     this->target_follower.ReadSoon();
   }
   if (this->routes == nullptr ||
       message.config > this->routes->Config().version) {
     this->config_follower.ReadSoon();
   }
-  this->untold.clear();
 }
 
 void Gateway::OnMessage(const EntryMessage& message) {
@@ -525,8 +503,7 @@
 
 // Tells an entry again which targets hold a copy, in case it missed it.
 void Gateway::AnswerWanted(const HostId& host, const ServiceCopy& copy) {
-  EntryMessage answer;
-  answer.lease = this->lease.Held();
+  EntryMessage answer = this->feed.NewMessage(this->State());
   for (const TargetDescription& target : this->board.Targets()) {
     if (target.service == copy.service && !target.draining &&
         Holds(target.inventory, copy.copy)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/copy_interest.h"
 #include "gateway/entry_link.h"
 #include "gateway/front.h"
+#include "gateway/holder_feed.h"
 #include "gateway/keyed_follower.h"
 #include "gateway/lease_duty.h"
 #include "gateway/order_duty.h"
@@ -95,6 +96,7 @@
   // Datagrams between the entries.
   void Talk();
   void TellPlanner();
+  [[nodiscard]] HolderState State() const;
   void Announce(std::vector<TargetInventory> inventories);
   /// Tells the others what this holder of the lease has read.
   void AnnounceFeed();
@@ -115,6 +117,7 @@
   FiberSignal board_changed;
   RetryWindow retries;
   CopyInterest interest;
+  HolderFeed feed;
   std::shared_ptr<const RouteTable> routes;
   KeyedFollower config_follower;
   KeyedFollower target_follower;
@@ -129,12 +132,6 @@
   bool draining = false;
   TimePoint drain_started{};
   std::optional<TimePoint> targets_regained_at;
-  std::vector<RegistrationChange> untold;
-  std::uint64_t told_count = 0;
-  std::optional<InstanceId> feed_instance;
-  std::uint64_t feed_count = 0;
-  TimePoint feed_heard_at{};
-  Duration feed_age{0};
 };
 
 }  // namespace pimentospar
--- a/src/gateway/keyed_follower.cc
+++ b/src/gateway/keyed_follower.cc
@@ -85,10 +85,7 @@
   this->failures = 0;
   if (was_lost) {
     LogInfo("log_regained",
-            {{"stream", this->options.stream},
-             {"age_ms",
-              std::chrono::duration_cast<std::chrono::milliseconds>(this->Age())
-                  .count()}});
+            {{"stream", this->options.stream}, {"age_ms", this->Age()}});
   }
   this->answered_at = this->clock.Now();
   if (was_lost && this->handler.on_regained) {
--- a/src/gateway/order_duty.cc
+++ b/src/gateway/order_duty.cc
@@ -24,11 +24,6 @@
 // A load or an unload that takes longer is left to the next plan.
 constexpr std::chrono::seconds kLongestOrder{15};
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 void Remove(Inventory& inventory, const CopyRef& copy) {
   if (copy.adapter.IsEmpty()) {
     std::erase_if(inventory.models, [&](const LoadedModel& loaded) {
@@ -232,7 +227,7 @@
                           {"after", after},
                           {"lease", held->value},
                           {"answer", ToString(answer)},
-                          {"ms", Milliseconds(this->clock.Now() - start)}});
+                          {"ms", this->clock.Now() - start}});
   switch (answer) {
     case OrderAnswer::kAccepted:
       return this->Follow(order);
@@ -249,6 +244,7 @@
       (void)this->Refresh(order.target);
       return OrderEnd::kRefused;
     case OrderAnswer::kOtherTarget:
+      this->board.OnReplaced(order.target);
       return OrderEnd::kRefused;
     case OrderAnswer::kNoAnswer:
       break;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/verb.hpp>
+#include <cstdlib>
 
 #include "net/log_line.h"
 
@@ -44,25 +45,18 @@
 // One answer in time in so many is logged; late ones and failures all are.
 constexpr std::uint64_t kSuccessSample = 16;
 
+constexpr long long kMillisecondsPerSecond = 1000;
+
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kNotFoundStatus = 404;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 
-bool IsSuccess(unsigned status) {
-  return status >= 200 && status < 300;
-}
-
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 }  // namespace
 
 Relay::Relay(RelayParts& parts, CallerRequest& request, CallerChannel& channel)
@@ -72,7 +66,12 @@
       table(parts.routes()),
       meta(parts.protocol.ReadRequest(request.message.base())),
       received(parts.clock.Now()),
-      events(this->meta.last_event) {}
+      forwarder(parts.clock,
+                parts.alarms,
+                parts.pool,
+                request,
+                channel,
+                this->meta.last_event) {}
 
 Duration Relay::Left() const {
   return this->deadline - this->parts.clock.Now();
@@ -245,7 +244,7 @@
       head,
       {attempt.target.target,
        std::chrono::duration_cast<std::chrono::milliseconds>(this->Left()),
-       this->events.Last()});
+       this->forwarder.LastEvent()});
   const bool has_body = !this->body->empty() ||
                         message.count(http::field::content_length) > 0 ||
                         message.count(http::field::transfer_encoding) > 0;
@@ -283,10 +282,11 @@
   attempt.id = AttemptId{this->parts.random.Next()};
   this->parts.board.OnSent(attempt.id, attempt.target, this->Query());
   this->parts.metrics.Count(Event::kAttemptStarted);
-  if (this->stream_begun) {
+  if (this->forwarder.HasBegun()) {
     this->parts.metrics.Count(Event::kStreamResumed);
   }
   ++this->sends;
+  this->last_target = attempt.target.target;
   this->current = attempt.exchange.get();
   const End end = this->Exchanged(attempt);
   this->current = nullptr;
@@ -367,134 +367,45 @@
     return End::kNotRun;
   }
   ++this->runs;
-  if (!IsSuccess(status)) {
-    return this->ReadWhole(attempt);
-  }
-  if (!attempt.meta.is_signed) {
+  if (IsSuccess(status) && !attempt.meta.is_signed) {
     attempt.reason = Reason::kTargetError;
     return End::kUnknown;
   }
-  return this->route->kind == RequestKind::kStream
-             ? this->ForwardStream(attempt)
-             : this->ReadWhole(attempt);
+  return this->Forward(attempt);
 }
 
-std::string Relay::AnswerHead(const Exchange::Head& head) const {
-  std::string text = StatusLine(head.result_int());
-  AppendEndToEnd(text, head, [](std::string_view) { return false; });
-  if (this->request.close_after) {
-    text += "Connection: close\r\n";
-  }
-  return text;
-}
-
-Relay::End Relay::ForwardStream(Attempt& attempt) {
-  if (!this->stream_begun) {
-    this->stream_head = this->AnswerHead(attempt.exchange->GetHead()) +
-                        "Transfer-Encoding: chunked\r\n\r\n";
-  }
-  return this->ForwardEvents(attempt);
-}
-
-Relay::End Relay::ForwardEvents(Attempt& attempt) {
-  Exchange& exchange = *attempt.exchange;
-  EventSplitter splitter;
+Duration Relay::EventSilence() const {
   const bool may_go_on =
       this->route->IsRepeatable() && this->runs < this->route->attempts;
-  const Duration silence = may_go_on ? Duration(kEventSilence) : this->Left();
-  std::string out;
-  while (true) {
-    std::string_view data;
-    BodyPart part = BodyPart::kBroken;
-    {
-      const Alarm limit(this->parts.alarms, silence,
-                        [&exchange] { exchange.Cancel(); });
-      part = exchange.ReadBody(data);
-    }
-    if (part == BodyPart::kBroken) {
-      attempt.reason =
-          this->IsLate() ? Reason::kDeadlineExceeded : Reason::kBrokenStream;
-      return End::kUnknown;
-    }
-    out.clear();
-    if (part == BodyPart::kData) {
-      splitter.Append(data);
-    }
-    while (const auto event = splitter.Next()) {
-      const EventVerdict verdict = this->events.OnEvent(event->id);
-      if (verdict == EventVerdict::kGap) {
-        attempt.reason = Reason::kCrossedAnswer;
-        return End::kUnknown;
-      }
-      if (verdict == EventVerdict::kForward) {
-        out += event->text;
-      }
-    }
-    if (!out.empty()) {
-      this->NoteEvents();
-      const bool sent = this->channel.SendChunk(
-          this->stream_begun ? std::string_view() : this->stream_head, out);
-      this->stream_begun = true;
-      if (!sent) {
-        return End::kCallerGone;
-      }
-    }
-    if (part == BodyPart::kEnd) {
-      if (splitter.Pending() > 0) {
-        attempt.reason = Reason::kBrokenStream;
-        return End::kUnknown;
-      }
-      return this->EndStream(attempt);
-    }
-  }
-}
-
-void Relay::NoteEvents() {
-  const TimePoint now = this->parts.clock.Now();
-  if (!this->first_byte) {
-    this->first_byte = now - this->received;
-    this->parts.metrics.RecordFirstTokenTime(*this->first_byte);
-  } else {
-    this->longest_pause =
-        std::max(this->longest_pause, now - this->last_event_at);
-  }
-  this->last_event_at = now;
+  return may_go_on ? Duration(kEventSilence) : this->Left();
 }
 
-Relay::End Relay::EndStream(Attempt& attempt) {
-  attempt.exchange->Release(this->parts.pool);
-  const bool sent = this->channel.EndChunks(
-      this->stream_begun ? std::string_view() : this->stream_head);
-  this->stream_begun = true;
-  return sent ? End::kDelivered : End::kCallerGone;
-}
-
-Relay::End Relay::ReadWhole(Attempt& attempt) {
-  WholeAnswer answer;
-  const auto& head = attempt.exchange->GetHead();
-  answer.status = head.result_int();
-  answer.head = this->AnswerHead(head);
-  std::string_view data;
-  BodyPart part = attempt.exchange->ReadBody(data);
-  while (part == BodyPart::kData) {
-    answer.body += data;
-    part = attempt.exchange->ReadBody(data);
-  }
-  if (part == BodyPart::kBroken) {
-    attempt.reason =
-        this->IsLate() ? Reason::kDeadlineExceeded : Reason::kTargetCrashed;
-    return End::kUnknown;
-  }
-  attempt.exchange->Release(this->parts.pool);
-  if (!IsSuccess(answer.status)) {
-    attempt.reason = Reason::kTargetError;
-    this->failed_answer = std::move(answer);
-    return End::kFailed;
+Relay::End Relay::Forward(Attempt& attempt) {
+  const bool is_success = IsSuccess(attempt.exchange->GetHead().result_int());
+  const bool is_stream =
+      is_success && this->route->kind == RequestKind::kStream;
+  const ForwardEnd end = is_stream
+                             ? this->forwarder.ForwardStream(
+                                   *attempt.exchange, this->EventSilence())
+                             : this->forwarder.ForwardWhole(*attempt.exchange);
+  switch (end) {
+    case ForwardEnd::kDelivered:
+      return End::kDelivered;
+    case ForwardEnd::kCallerGone:
+      return End::kCallerGone;
+    case ForwardEnd::kFailed:
+      attempt.reason = Reason::kTargetError;
+      return End::kFailed;
+    case ForwardEnd::kGap:
+      attempt.reason = Reason::kCrossedAnswer;
+      return End::kUnknown;
+    case ForwardEnd::kBroken:
+      break;
   }
-  answer.head +=
-      "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
-  return this->channel.SendWhole(answer.head, answer.body) ? End::kDelivered
-                                                           : End::kCallerGone;
+  const Reason broken =
+      is_stream ? Reason::kBrokenStream : Reason::kTargetCrashed;
+  attempt.reason = this->IsLate() ? Reason::kDeadlineExceeded : broken;
+  return End::kUnknown;
 }
 
 void Relay::OnAttemptEnd(Attempt& attempt, End end) {
@@ -530,8 +441,8 @@
             {{"request", this->meta.id},
              {"target", attempt.target.target.value},
              {"reason", CodeOf(attempt.reason)},
-             {"expected_ms", Milliseconds(attempt.target.expected)},
-             {"left_ms", Milliseconds(this->Left())},
+             {"expected_ms", attempt.target.expected},
+             {"left_ms", this->Left()},
              {"config", this->table->Config().version.value}});
   }
 }
@@ -550,7 +461,7 @@
     case End::kFailed:
       if (!this->route->IsRepeatable() || this->runs >= this->route->attempts ||
           reason == Reason::kDeadlineExceeded ||
-          (this->stream_begun && !this->events.Last())) {
+          (this->forwarder.HasBegun() && !this->forwarder.LastEvent())) {
         return false;
       }
       break;
@@ -567,18 +478,16 @@
     this->LogEnd("caller_gone", 0, Reason::kCallerGone);
     return false;
   }
-  if (this->stream_begun) {
+  if (this->forwarder.HasBegun()) {
     // An answer that ends early must not look complete.
     this->parts.metrics.CountRefusal(reason);
     this->LogEnd("cut_off", 0, reason);
     return false;
   }
-  if (this->failed_answer && end != End::kUnknown) {
-    WholeAnswer& answer = *this->failed_answer;
-    answer.head +=
-        "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
-    this->LogEnd("failed_by_target", answer.status, reason);
-    return this->channel.SendWhole(answer.head, answer.body);
+  const auto failed = this->forwarder.FailedStatus();
+  if (failed && end != End::kUnknown) {
+    this->LogEnd("failed_by_target", *failed, reason);
+    return this->forwarder.SendFailed();
   }
   if (this->runs > 0) {
     const bool late = reason == Reason::kDeadlineExceeded;
@@ -614,11 +523,13 @@
             this->meta.id + "\r\n";
   }
   if (retry_after) {
-    const auto milliseconds = Milliseconds(*retry_after);
-    std::string digits = std::to_string(milliseconds % 1000);
+    const auto [seconds, milliseconds] = std::lldiv(
+        std::chrono::duration_cast<std::chrono::milliseconds>(*retry_after)
+            .count(),
+        kMillisecondsPerSecond);
+    std::string digits = std::to_string(milliseconds);
     digits.insert(0, 3 - digits.size(), '0');
-    head += "Retry-After: " + std::to_string(milliseconds / 1000) + "." +
-            digits + "\r\n";
+    head += "Retry-After: " + std::to_string(seconds) + "." + digits + "\r\n";
   }
   if (this->request.close_after) {
     head += "Connection: close\r\n";
@@ -633,32 +544,38 @@
 
 void Relay::LogEnd(std::string_view outcome, unsigned status, Reason reason) {
   const Duration took = this->parts.clock.Now() - this->received;
+  const Duration pause = this->forwarder.LongestPause();
+  std::optional<Duration> first_event;
+  if (const auto at = this->forwarder.FirstEventAt()) {
+    first_event = *at - this->received;
+    this->parts.metrics.RecordFirstTokenTime(*first_event);
+  }
   this->parts.metrics.RecordRequestTime(took);
   if (reason == Reason::kNone) {
     this->parts.metrics.Count(Event::kRequestCompleted);
-    const bool late = this->longest_pause > kLongPause ||
-                      (this->route != nullptr &&
-                       this->first_byte.value_or(took) > this->route->goal);
+    const bool late =
+        pause > kLongPause || (this->route != nullptr &&
+                               first_event.value_or(took) > this->route->goal);
     if (!late && this->parts.random.Below(kSuccessSample) != 0) {
       return;
     }
   }
-  LogInfo(
-      "request_ended",
-      {{"request", this->meta.id},
-       {"outcome", outcome},
-       {"status", status},
-       {"reason", CodeOf(reason)},
-       {"route", this->route == nullptr ? "" : this->route->name},
-       {"service", this->service.value},
-       {"model", PrefixScope(this->meta.copy).value},
-       {"sends", this->sends},
-       {"runs", this->runs},
-       {"ms", Milliseconds(took)},
-       {"pause_ms", Milliseconds(this->longest_pause)},
-       {"first_ms", this->first_byte ? Milliseconds(*this->first_byte) : -1},
-       {"config",
-        this->table == nullptr ? 0 : this->table->Config().version.value}});
+  LogInfo("request_ended",
+          {{"request", this->meta.id},
+           {"outcome", outcome},
+           {"status", status},
+           {"reason", CodeOf(reason)},
+           {"route", this->route == nullptr ? "" : this->route->name},
+           {"service", this->service.value},
+           {"model", PrefixScope(this->meta.copy).value},
+           {"target", this->last_target.value},
+           {"sends", this->sends},
+           {"runs", this->runs},
+           {"ms", took},
+           {"pause_ms", pause},
+           {"first_ms", first_event.value_or(std::chrono::milliseconds(-1))},
+           {"config",
+            this->table == nullptr ? 0 : this->table->Config().version.value}});
 }
 
 }  // namespace pimentospar
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -7,12 +7,12 @@
 #include <string>
 #include <vector>
 
+#include "gateway/answer_forwarder.h"
 #include "gateway/copy_interest.h"
 #include "gateway/front.h"
 #include "gateway/upstream.h"
 #include "net/metrics.h"
 #include "pimentospar/reason.h"
-#include "pimentospar/routing/event_stream.h"
 #include "pimentospar/routing/retry_window.h"
 #include "pimentospar/routing/route_table.h"
 #include "pimentospar/routing/target_board.h"
@@ -50,12 +50,6 @@
   bool RefuseDraining();
 
  private:
-  /// An answer that was read to its end.
-  struct WholeAnswer {
-    unsigned status = 0;
-    std::string head;
-    std::string body;
-  };
   /// How one attempt ended.
   enum class End : std::uint8_t {
     /// The caller has its answer.
@@ -91,12 +85,10 @@
   [[nodiscard]] End Exchanged(Attempt& attempt);
   [[nodiscard]] bool ReadOwnHead(Attempt& attempt);
   [[nodiscard]] End JudgeHead(Attempt& attempt);
-  [[nodiscard]] End ForwardStream(Attempt& attempt);
-  [[nodiscard]] End ForwardEvents(Attempt& attempt);
-  [[nodiscard]] End EndStream(Attempt& attempt);
-  [[nodiscard]] End ReadWhole(Attempt& attempt);
+  [[nodiscard]] End Forward(Attempt& attempt);
+  /// Returns how long a stream may say nothing.
+  [[nodiscard]] Duration EventSilence() const;
   [[nodiscard]] std::string HeadFor(const Attempt& attempt) const;
-  [[nodiscard]] std::string AnswerHead(const Exchange::Head& head) const;
   [[nodiscard]] Duration FirstByteLimit(const ChosenTarget& target) const;
   void OnAttemptEnd(Attempt& attempt, End end);
   /// Returns whether the request may be sent once more.
@@ -108,7 +100,6 @@
   bool Refuse(unsigned status,
               Reason reason,
               std::optional<Duration> retry_after);
-  void NoteEvents();
   void LogEnd(std::string_view outcome, unsigned status, Reason reason);
   [[nodiscard]] Duration Left() const;
   [[nodiscard]] bool IsLate() const { return this->Left() <= Duration(0); }
@@ -123,17 +114,13 @@
   TimePoint received;
   TimePoint deadline;
   std::shared_ptr<const std::string> body;
-  EventSequence events;
-  std::string stream_head;
-  bool stream_begun = false;
-  std::optional<WholeAnswer> failed_answer;
+  AnswerForwarder forwarder;
   std::vector<TargetId> tried;
   std::uint32_t sends = 0;
+  /// The target of the last send.
+  TargetId last_target;
   std::uint32_t runs = 0;
   Exchange* current = nullptr;
-  std::optional<Duration> first_byte;
-  TimePoint last_event_at{};
-  Duration longest_pause{0};
   bool counted = false;
 };
 
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -261,8 +261,4 @@
   }
 }
 
-const std::string& Exchange::Address() const {
-  return this->state->connection->address;
-}
-
 }  // namespace pimentospar
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -60,8 +60,6 @@
   /// `idle_time` is what the peer names, if it does.
   void Keep(std::unique_ptr<UpstreamConnection> connection,
             std::optional<std::chrono::seconds> idle_time);
-  /// Closes the idle connections to an address.
-  void Forget(const std::string& address) { this->idle.erase(address); }
 
  private:
   using Idle = std::deque<std::unique_ptr<UpstreamConnection>>;
@@ -102,8 +100,6 @@
   [[nodiscard]] bool WasCancelled() const;
   /// Gives the connection back if another request may follow on it.
   void Release(UpstreamPool& pool);
-  /// Returns the address that the request was sent to.
-  [[nodiscard]] const std::string& Address() const;
 
  private:
   struct State;
--- a/src/net/log_line.h
+++ b/src/net/log_line.h
@@ -1,6 +1,7 @@
 #ifndef SRC_NET_LOG_LINE_H_
 #define SRC_NET_LOG_LINE_H_
 
+#include <chrono>
 #include <concepts>
 #include <initializer_list>
 #include <string>
@@ -18,6 +19,13 @@
   template <std::integral Number>
   LogField(std::string_view key, Number value)
       : key(key), value(std::to_string(value)) {}
+  /// Whole milliseconds.
+  template <typename Number, typename Period>
+  LogField(std::string_view key, std::chrono::duration<Number, Period> value)
+      : key(key),
+        value(std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(value)
+                .count())) {}
 
   std::string_view key;
   std::string value;
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -201,12 +201,6 @@
   }
 }
 
-std::size_t CopyPlanner::PendingCount() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      this->engines,
-      [](const auto& entry) { return entry.second.pending.has_value(); }));
-}
-
 double CopyPlanner::WorkOf(const ServiceCopy& copy) const {
   const auto found = this->interests.find(copy);
   if (found == this->interests.end()) {
--- a/src/routing/target_board.cc
+++ b/src/routing/target_board.cc
@@ -459,21 +459,6 @@
   return found == this->targets.end() ? nullptr : &found->second.description;
 }
 
-double TargetBoard::Utilization(const ServiceId& service) const {
-  const TimePoint now = this->clock.Now();
-  double taken = 0;
-  double slots = 0;
-  for (const auto& [id, target] : this->targets) {
-    if (target.description.service != service || !this->IsUsable(target, now)) {
-      continue;
-    }
-    taken +=
-        target.in_flight + target.others_running * this->DecayOf(target, now);
-    slots += target.description.slots;
-  }
-  return slots == 0 ? 1 : taken / slots;
-}
-
 std::size_t TargetBoard::InFlight(const TargetId& target) const {
   const auto found = this->targets.find(target);
   return found == this->targets.end() ? 0 : found->second.in_flight;
--- a/test/gateway/order_duty_test.cc
+++ b/test/gateway/order_duty_test.cc
@@ -22,6 +22,9 @@
                    FencingToken fence) override {
     this->orders.push_back(order);
     this->fences.push_back(fence);
+    if (this->replaced.contains(target.id)) {
+      return OrderAnswer::kOtherTarget;
+    }
     TargetReport& state = this->states[target.id];
     if (fence < this->newest_fence) {
       return OrderAnswer::kFenced;
@@ -49,6 +52,8 @@
 
   std::map<TargetId, TargetReport> states;
   std::map<TargetId, TargetReport> old_reports;
+  /// Another target answers at the address of these.
+  std::set<TargetId> replaced;
   std::vector<PlannedOrder> orders;
   std::vector<FencingToken> fences;
   FencingToken newest_fence;
@@ -200,5 +205,27 @@
   BOOST_TEST(world.control.fences.size() <= 4U);
 }
 
+// The registration of a crashed engine lasts for seconds; without this the
+// orders of its empty memory would go to it until then.
+BOOST_AUTO_TEST_CASE(GivesAReplacedTargetOneOrder) {
+  World& world = World::Create();
+  const TargetId crashed("t");
+  world.board.OnTarget(
+      {.id = crashed, .service = ServiceId("s"), .inventory = {.started = 2}});
+  world.control.states[crashed].inventory = {.started = 2};
+  world.control.replaced.insert(crashed);
+  world.Start();
+  const ServiceCopy wanted{ServiceId("s"), {ModelId("m1"), {}}};
+  BOOST_TEST(Eventually([&] {
+    world.duty->OnWanted(wanted);
+    return !world.control.orders.empty();
+  }));
+  for (int i = 0; i < 100; ++i) {
+    world.duty->OnWanted(wanted);
+    boost::this_fiber::sleep_for(milliseconds(8));
+  }
+  BOOST_TEST(world.control.orders.size() == 1U);
+}
+
 }  // namespace
 }  // namespace pimentospar
