--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -73,7 +73,7 @@
   /// A copy counts as wanted for this time after it was last asked for.
   Duration wanted_memory = std::chrono::milliseconds(500);
   /// Work per copy and time from which a model gets a further copy.
-  double busy_share = 0.3;
+  double busy_share = 0.15;
   /// Loads begun in this window stay within the rate of the store.
   Duration store_window = std::chrono::seconds(5);
   /// A copy stays at least this long unless nobody asks for it.
@@ -92,7 +92,7 @@
   /// per time.
   double idle_copy_worth = 0.15;
   /// Work per time that a load must relieve.
-  double load_cost = 0.05;
+  double load_cost = 0.02;
   /// Room that was made for a model is kept for it this long.
   Duration reservation = std::chrono::seconds(3);
   /// A refused order is not tried again at its target for this time.
