Weigh the first copy of a rare model against further copies of busy ones

Cause: the store gives 2.1 loads a second; while demand moves, first copies of models with a request in seconds all went before the second copy of a model with ten a second, whose only engine was overloaded for 7 s. A model in use also kept its last copy against any need.

--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -88,6 +88,13 @@
   double crowded_places = 0.9;
   /// Gain of a copy that brings places for adapters, as work per time.
   double place_gain = 0.2;
+  /// Gain of the first copy of a model, as work per time beside its own, and
+  /// its growth for each second that requests lack it: a rare model waits
+  /// behind a busy one, but not for long.
+  double first_copy_gain = 0.15;
+  double waiting_gain = 0.1;
+  /// Worth of keeping the only copy of a model in use, beside its work.
+  double last_copy_worth = 0.5;
   /// Worth of keeping the only copy of a model that nobody asks for, as work
   /// per time.
   double idle_copy_worth = 0.15;
@@ -150,6 +157,8 @@
     TimePoint last_used{};
     TimePoint wanted_at{};
     TimePoint wanted_since{};
+    /// When a need of the first copy was first seen.
+    std::optional<TimePoint> missing_since;
   };
   struct Need {
     ServiceCopy copy;
@@ -170,7 +179,9 @@
   [[nodiscard]] std::size_t CopiesOf(const ServiceCopy& copy,
                                      bool with_pending) const;
   [[nodiscard]] double LossOf(const Engine& engine, const ModelId& model) const;
-  [[nodiscard]] std::vector<Need> ModelNeeds(const ServiceSpec& service) const;
+  /// Returns what the callers of a model without a copy gain by one.
+  [[nodiscard]] double FirstCopyGain(Interest& interest, double work) const;
+  [[nodiscard]] std::vector<Need> ModelNeeds(const ServiceSpec& service);
   /// Returns how many adapters of the model were used recently.
   [[nodiscard]] std::size_t AdaptersInUse(const ServiceCopy& model) const;
   [[nodiscard]] Duration AdapterRest(const Interest& interest) const;
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -9,15 +9,11 @@
 
 namespace {
 
-// Gain of the first copy of a model that requests wait for: above any other.
-constexpr double kFirstCopyGain = 100;
 // Loss of a copy beside others at engines for prompts of one length, while the
 // other engines have none.
 constexpr double kSameKindLoss = 0.05;
 // Loss of any copy: free room goes first.
 constexpr double kUnloadLoss = 0.01;
-// Loss of the last copy of a model in use.
-constexpr double kLastCopyLoss = 10;
 // Demand below this many requests in the memory counts as none.
 constexpr double kNoRequests = 0.05;
 constexpr std::chrono::seconds kInterestRetention{60};
@@ -235,20 +231,31 @@
   return count;
 }
 
+double CopyPlanner::FirstCopyGain(Interest& interest, double work) const {
+  const TimePoint now = this->clock.Now();
+  interest.missing_since = interest.missing_since.value_or(now);
+  return work + this->options.first_copy_gain +
+         this->options.waiting_gain * Seconds(now - *interest.missing_since);
+}
+
 std::vector<CopyPlanner::Need> CopyPlanner::ModelNeeds(
-    const ServiceSpec& service) const {
+    const ServiceSpec& service) {
   std::vector<Need> needs;
   for (const ModelSpec& model : service.engine->models) {
     const ServiceCopy copy{service.id, {model.id, {}}};
     const auto copies = static_cast<double>(this->CopiesOf(copy, true));
     const auto interest = this->interests.find(copy);
-    const bool wanted =
-        interest != this->interests.end() && this->IsWanted(interest->second);
+    if (interest == this->interests.end()) {
+      continue;
+    }
     const double work = this->WorkOf(copy);
+    if (copies == 0 && (work > 0 || this->IsWanted(interest->second))) {
+      needs.push_back({copy, this->FirstCopyGain(interest->second, work),
+                       OrderReason::kWanted});
+      continue;
+    }
+    interest->second.missing_since.reset();
     if (copies == 0) {
-      if (wanted || work > 0) {
-        needs.push_back({copy, kFirstCopyGain + work, OrderReason::kWanted});
-      }
       continue;
     }
     const double each = work / copies;
@@ -286,7 +293,8 @@
   const auto copies = static_cast<double>(this->CopiesOf(copy, false));
   const double work = this->WorkOf(copy);
   if (copies <= 1) {
-    return work > 0 ? kLastCopyLoss + work : this->options.idle_copy_worth;
+    return work > 0 ? this->options.last_copy_worth + 3 * work
+                    : this->options.idle_copy_worth;
   }
   const double each = work / (copies - 1);
   const double loss = each - work / copies;
