Prefer loads from an engine's own copies, and weigh a first copy by all its work

Cause: the weight store's rate bounds how fast copies follow the demand, while an engine's own copies are not counted.

--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -92,7 +92,7 @@
   /// its growth for each second that requests lack it: a rare model waits
   /// behind a busy one, but not for long.
   double first_copy_gain = 0.15;
-  double waiting_gain = 0.1;
+  double waiting_gain = 0.05;
   /// Worth of keeping the only copy of a model in use, beside its work.
   double last_copy_worth = 0.5;
   /// Worth of keeping the only copy of a model that nobody asks for, as work
@@ -100,6 +100,9 @@
   double idle_copy_worth = 0.15;
   /// Work per time that a load must relieve.
   double load_cost = 0.02;
+  /// Loss that a load from a target's own copy may cause beyond one from the
+  /// weight store, whose rate bounds how fast copies follow the demand.
+  double at_hand_gain = 0.08;
   /// Room that was made for a model is kept for it this long.
   Duration reservation = std::chrono::seconds(3);
   /// A refused order is not tried again at its target for this time.
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -234,7 +234,7 @@
 double CopyPlanner::FirstCopyGain(Interest& interest, double work) const {
   const TimePoint now = this->clock.Now();
   interest.missing_since = interest.missing_since.value_or(now);
-  return work + this->options.first_copy_gain +
+  return 2 * work + this->options.first_copy_gain +
          this->options.waiting_gain * Seconds(now - *interest.missing_since);
 }
 
@@ -330,9 +330,10 @@
   const auto consider = [&](const Room& room) {
     // A copy at hand saves most of the load's time and its price.
     const double value =
-        room.loss - (room.at_hand ? this->options.load_cost : 0);
+        room.loss - (room.at_hand ? this->options.at_hand_gain : 0);
     const double best_value =
-        best ? best->loss - (best->at_hand ? this->options.load_cost : 0) : 0;
+        best ? best->loss - (best->at_hand ? this->options.at_hand_gain : 0)
+             : 0;
     if (!best || value < best_value) {
       best = room;
     }
