Refuse streams that cannot end in time, and load a rare model after 5 s

All streams of such an engine failed at their deadline, while each new one made it slower.

Change: StreamPace keeps the time between events of each target, StreamLengths the events of a route. A target that is not expected to end the answer in time is left out; if all are, the request is refused as overloaded after 200 ms with Retry-After 1 s. A model that requests lacked for 5 s is loaded first.

--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -90,9 +90,10 @@
   double place_gain = 0.2;
   /// Gain of the first copy of a model, as work per time beside its own, and
   /// its growth for each second that requests lack it: a rare model waits
-  /// behind a busy one, but not for long.
+  /// behind a busy one, but not longer than `longest_wait`.
   double first_copy_gain = 0.15;
   double waiting_gain = 0.05;
+  Duration longest_wait = std::chrono::seconds(5);
   /// Worth of keeping the only copy of a model in use, beside its work.
   double last_copy_worth = 0.5;
   /// Worth of keeping the only copy of a model that nobody asks for, as work
--- a/include/pimentospar/routing/target_board.h
+++ b/include/pimentospar/routing/target_board.h
@@ -13,6 +13,7 @@
 #include "pimentospar/clock.h"
 #include "pimentospar/prefix_belief.h"
 #include "pimentospar/random.h"
+#include "pimentospar/routing/stream_pace.h"
 #include "pimentospar/target_health.h"
 #include "pimentospar/types.h"
 
@@ -112,6 +113,10 @@
   std::span<const TargetId> tried;
   /// True if the request may try out a target that failed.
   bool repeatable = true;
+  /// Events that the answer is expected to have, and the time for all of them;
+  /// 0 events if that is not known.
+  std::uint32_t events = 0;
+  Duration left{0};
 };
 
 /// A target for a request.
@@ -132,7 +137,10 @@
 };
 /// No target may take the request.
 struct NoUsableTarget {};
-using BoardChoice = std::variant<ChosenTarget, NeedsCopy, NoUsableTarget>;
+/// Targets hold the copy, but none is expected to end the answer in time.
+struct AllOverloaded {};
+using BoardChoice =
+    std::variant<ChosenTarget, NeedsCopy, NoUsableTarget, AllOverloaded>;
 
 /// How an attempt ended at its target.
 enum class SendEnd : std::uint8_t {
@@ -177,6 +185,8 @@
               const ChosenTarget& chosen,
               const TargetQuery& query);
   void OnFirstByte(AttemptId attempt);
+  /// An event of the answer came `gap` after the one before.
+  void OnEvent(const TargetId& target, Duration gap);
   void OnLoad(const TargetId& target, const ReportedLoad& load);
   void OnEnd(AttemptId attempt, SendEnd end);
 
@@ -208,6 +218,7 @@
     TimePoint load_reported;
     /// Seen time to the first byte against the expected one.
     double pace = 1;
+    StreamPace events;
   };
   struct Sent {
     TargetId target;
--- a/src/gateway/answer_forwarder.cc
+++ b/src/gateway/answer_forwarder.cc
@@ -14,13 +14,15 @@
                                  UpstreamPool& pool,
                                  const CallerRequest& request,
                                  CallerChannel& channel,
-                                 std::optional<std::uint64_t> last_event)
+                                 std::optional<std::uint64_t> last_event,
+                                 std::function<void(Duration)> on_gap)
     : clock(clock),
       alarms(alarms),
       pool(pool),
       request(request),
       channel(channel),
-      events(last_event) {}
+      events(last_event),
+      on_gap(std::move(on_gap)) {}
 
 std::string AnswerForwarder::HeadOf(const Exchange::Head& head) const {
   std::string text = StatusLine(head.result_int());
@@ -39,6 +41,7 @@
   }
   EventSplitter splitter;
   std::string out;
+  this->target_event_at.reset();
   while (true) {
     std::string_view data;
     const BodyPart part = this->ReadPart(exchange, silence, data);
@@ -83,6 +86,7 @@
     }
     if (verdict == EventVerdict::kForward) {
       out += event->text;
+      ++this->event_count;
     }
   }
   return true;
@@ -111,6 +115,10 @@
         std::max(this->longest_pause, now - this->last_event_at);
   }
   this->last_event_at = now;
+  if (this->target_event_at) {
+    this->on_gap(now - *this->target_event_at);
+  }
+  this->target_event_at = now;
 }
 
 ForwardEnd AnswerForwarder::ForwardWhole(Exchange& exchange) {
--- a/src/gateway/answer_forwarder.h
+++ b/src/gateway/answer_forwarder.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_ANSWER_FORWARDER_H_
 #define SRC_GATEWAY_ANSWER_FORWARDER_H_
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -29,13 +30,15 @@
 /// stopped.
 class AnswerForwarder {
  public:
-  /// `last_event` is the event that the caller has already.
+  /// `last_event` is the event that the caller has already; `on_gap` hears the
+  /// time between two events of one target.
   AnswerForwarder(const Clock& clock,
                   Alarms& alarms,
                   UpstreamPool& pool,
                   const CallerRequest& request,
                   CallerChannel& channel,
-                  std::optional<std::uint64_t> last_event);
+                  std::optional<std::uint64_t> last_event,
+                  std::function<void(Duration)> on_gap);
 
   /// Forwards events as they arrive, up to the end of the stream. A target that
   /// sends nothing for `silence` has stopped.
@@ -58,6 +61,8 @@
     return this->first_event_at;
   }
   [[nodiscard]] Duration LongestPause() const { return this->longest_pause; }
+  /// Returns the number of events that were forwarded.
+  [[nodiscard]] std::uint32_t EventCount() const { return this->event_count; }
 
  private:
   /// An answer that was read to its end.
@@ -86,6 +91,10 @@
   const CallerRequest& request;
   CallerChannel& channel;
   EventSequence events;
+  std::function<void(Duration)> on_gap;
+  std::uint32_t event_count = 0;
+  /// Set while events of the same target follow one another.
+  std::optional<TimePoint> target_event_at;
   std::string stream_head;
   bool begun = false;
   std::optional<WholeAnswer> failed;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -116,6 +116,7 @@
   TargetBoard board;
   FiberSignal board_changed;
   RetryWindow retries;
+  StreamLengths lengths;
   CopyInterest interest;
   HolderFeed feed;
   std::shared_ptr<const RouteTable> routes;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -36,6 +36,10 @@
 constexpr std::chrono::milliseconds kRetryAfterStart{2000};
 constexpr std::chrono::milliseconds kRetryAfterAdapter{500};
 constexpr std::chrono::milliseconds kRetryAfterLoad{2000};
+// An overload rarely ends sooner; a longer wait here would only delay the
+// refusal.
+constexpr std::chrono::milliseconds kCapacityPatience{200};
+constexpr std::chrono::milliseconds kRetryAfterOverload{1000};
 // Time of an engine that each output token takes beside those of others.
 constexpr std::chrono::microseconds kTokenWork{300};
 constexpr std::uint32_t kTypicalOutput = 200;
@@ -43,7 +47,7 @@
 // A pause between events that callers notice.
 constexpr std::chrono::milliseconds kLongPause{600};
 // One answer in time in so many is logged; late ones and failures all are.
-constexpr std::uint64_t kSuccessSample = 1;
+constexpr std::uint64_t kSuccessSample = 16;
 
 constexpr long long kMillisecondsPerSecond = 1000;
 
@@ -71,7 +75,10 @@
                 parts.pool,
                 request,
                 channel,
-                this->meta.last_event) {}
+                this->meta.last_event,
+                [this](Duration gap) {
+                  this->parts.board.OnEvent(this->last_target, gap);
+                }) {}
 
 Duration Relay::Left() const {
   return this->deadline - this->parts.clock.Now();
@@ -130,6 +137,10 @@
     reason = attempt.reason;
     this->OnAttemptEnd(attempt, end);
     if (end == End::kDelivered) {
+      if (this->forwarder.EventCount() > 0) {
+        this->parts.lengths.OnStream(this->route->name,
+                                     this->forwarder.EventCount());
+      }
       this->LogEnd("answered", attempt.exchange->GetHead().result_int(),
                    Reason::kNone);
       return true;
@@ -156,6 +167,12 @@
   query.prefix = this->meta.prefix;
   query.tried = this->tried;
   query.repeatable = this->route->IsRepeatable();
+  if (this->route->kind == RequestKind::kStream) {
+    const std::uint32_t expected =
+        this->parts.lengths.Expected(this->route->name);
+    query.events = expected - std::min(expected, this->forwarder.EventCount());
+    query.left = this->Left();
+  }
   return query;
 }
 
@@ -185,6 +202,12 @@
     if (auto* chosen = std::get_if<ChosenTarget>(&choice)) {
       return std::move(*chosen);
     }
+    if (std::holds_alternative<AllOverloaded>(choice)) {
+      if (!this->AwaitCapacity()) {
+        return std::nullopt;
+      }
+      continue;
+    }
     const auto* missing = std::get_if<NeedsCopy>(&choice);
     if (missing == nullptr || !this->AwaitCopy(missing->model_loaded)) {
       return std::nullopt;
@@ -214,6 +237,17 @@
   return true;
 }
 
+// Waits a little for streams to end; false if the request should not wait.
+bool Relay::AwaitCapacity() {
+  const TimePoint until = this->received + kCapacityPatience;
+  const Duration left = until - this->parts.clock.Now();
+  if (left <= Duration(0)) {
+    return false;
+  }
+  (void)this->parts.board_changed.WaitFor(std::min<Duration>(left, kCopyPoll));
+  return true;
+}
+
 bool Relay::Connect(Attempt& attempt) {
   const std::string& address = attempt.target.address;
   auto connection = this->parts.pool.TakeIdle(address);
@@ -507,6 +541,9 @@
     return this->Refuse(kUnavailable, Reason::kNoTarget, kRetryAfterStart);
   }
   const BoardChoice choice = this->parts.board.Choose(query);
+  if (std::holds_alternative<AllOverloaded>(choice)) {
+    return this->Refuse(kUnavailable, Reason::kOverloaded, kRetryAfterOverload);
+  }
   const auto* missing = std::get_if<NeedsCopy>(&choice);
   const bool only_adapter = missing != nullptr && missing->model_loaded;
   return this->Refuse(kUnavailable, Reason::kModelLoading,
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -29,6 +29,7 @@
   TargetBoard& board;
   FiberSignal& board_changed;
   RetryWindow& retries;
+  StreamLengths& lengths;
   CopyInterest& interest;
   Metrics& metrics;
   /// Returns the routes in force; nothing before the first configuration.
@@ -78,6 +79,7 @@
   /// Returns the next target, after waiting for a missing copy; nothing if the
   /// request was answered instead.
   [[nodiscard]] std::optional<ChosenTarget> Choose();
+  [[nodiscard]] bool AwaitCapacity();
   [[nodiscard]] bool AwaitCopy(bool model_loaded);
   [[nodiscard]] Duration Patience(bool model_loaded) const;
   [[nodiscard]] End Try(Attempt& attempt);
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Gain of the first copy of a model that requests have lacked for too long:
+// above any loss, since every model stays reachable.
+constexpr double kOverdueGain = 100;
 // Loss of a copy beside others at engines for prompts of one length, while the
 // other engines have none.
 constexpr double kSameKindLoss = 0.05;
@@ -234,8 +237,10 @@
 double CopyPlanner::FirstCopyGain(Interest& interest, double work) const {
   const TimePoint now = this->clock.Now();
   interest.missing_since = interest.missing_since.value_or(now);
+  const Duration waited = now - *interest.missing_since;
+  const double overdue = waited > this->options.longest_wait ? kOverdueGain : 0;
   return 2 * work + this->options.first_copy_gain +
-         this->options.waiting_gain * Seconds(now - *interest.missing_since);
+         this->options.waiting_gain * Seconds(waited) + overdue;
 }
 
 std::vector<CopyPlanner::Need> CopyPlanner::ModelNeeds(
--- /dev/null
+++ b/src/routing/stream_pace.cc
@@ -0,0 +1,52 @@
+#include "pimentospar/routing/stream_pace.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimentospar {
+
+namespace {
+
+// Weight of one event, and of one stream, in the mean.
+constexpr double kEventGain = 0.1;
+constexpr double kStreamGain = 0.1;
+constexpr std::chrono::milliseconds kHalfLife{1000};
+// Bounds the routes that are remembered.
+constexpr std::size_t kMaxRoutes = 4096;
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+void StreamPace::OnEvent(Duration gap, TimePoint now) {
+  const Duration before = this->Gap(now);
+  this->mean = before + Scale(gap - before, kEventGain);
+  this->seen_at = now;
+}
+
+Duration StreamPace::Gap(TimePoint now) const {
+  const double half_lives =
+      std::chrono::duration<double>(now - this->seen_at).count() /
+      std::chrono::duration<double>(kHalfLife).count();
+  return Scale(this->mean, std::exp2(-std::max(0.0, half_lives - 0.5)));
+}
+
+void StreamLengths::OnStream(const std::string& route, std::uint32_t events) {
+  if (this->means.size() >= kMaxRoutes) {
+    this->means.clear();
+  }
+  const auto [entry, is_new] = this->means.try_emplace(route, events);
+  entry->second += kStreamGain * (events - entry->second);
+}
+
+std::uint32_t StreamLengths::Expected(const std::string& route) const {
+  const auto found = this->means.find(route);
+  return found == this->means.end()
+             ? 0
+             : static_cast<std::uint32_t>(std::lround(found->second));
+}
+
+}  // namespace pimentospar
--- a/src/routing/target_board.cc
+++ b/src/routing/target_board.cc
@@ -313,10 +313,17 @@
   Estimate best_estimate;
   double best_cost = std::numeric_limits<double>::infinity();
   bool best_is_trial = false;
+  bool overloaded = false;
   for (const Target* target : candidates) {
     const Estimate estimate = this->EstimateFor(*target, query, homes, now);
     const double weight = target->health.Weight();
     const bool trial = query.repeatable && target->health.IsTrialDue(now);
+    const Duration whole = Scale(estimate.expected, target->pace) +
+                           query.events * target->events.Gap(now);
+    if (query.events > 0 && whole > query.left) {
+      overloaded = true;
+      continue;
+    }
     const double cost =
         trial ? 0
               : static_cast<double>((estimate.cost + kBaseCost).count()) *
@@ -330,7 +337,7 @@
     }
   }
   if (best == nullptr) {
-    return this->WithoutCandidates(query, now);
+    return overloaded ? AllOverloaded{} : this->WithoutCandidates(query, now);
   }
   return ChosenTarget{best->description.id,
                       best->description.address,
@@ -387,6 +394,13 @@
       kSlowestPace);
 }
 
+void TargetBoard::OnEvent(const TargetId& target, Duration gap) {
+  const auto found = this->targets.find(target);
+  if (found != this->targets.end()) {
+    found->second.events.OnEvent(gap, this->clock.Now());
+  }
+}
+
 void TargetBoard::OnLoad(const TargetId& target, const ReportedLoad& load) {
   const auto found = this->targets.find(target);
   if (found == this->targets.end()) {
--- a/test/copy_planner_test.cc
+++ b/test/copy_planner_test.cc
@@ -264,5 +264,43 @@
   BOOST_TEST(this->Step().size() == 1U);
 }
 
+// The store gives few loads: the one engine of a busy model was overloaded for
+// seconds while models with a request now and then were loaded.
+BOOST_AUTO_TEST_CASE(WeighsABusyModelAgainstARareOne) {
+  Fixture fixture(2);
+  fixture.Load("t0", "m0");
+  fixture.Load("t0", "m1");
+  fixture.Load("t1", "m1");
+  fixture.Demand("m0", 3);
+  fixture.Demand("m2", 0.05);
+  fixture.Want(Copy("m2"));
+  const auto orders = fixture.Step();
+  const auto load =
+      std::ranges::find(orders, TargetId("t1"), &PlannedOrder::target);
+  BOOST_REQUIRE((load != orders.end()));
+  BOOST_TEST(load->copy.model.value == "m0");
+}
+
+BOOST_AUTO_TEST_CASE(LoadsARareModelBesideBusyOnes) {
+  Fixture fixture(2);
+  fixture.Load("t0", "m0");
+  fixture.Load("t0", "m1");
+  fixture.Load("t1", "m0");
+  fixture.Load("t1", "m1");
+  bool loaded = false;
+  for (int second = 0; second < 10; ++second) {
+    fixture.Demand("m0", 1.5);
+    fixture.Demand("m1", 1.5);
+    fixture.Demand("m2", 0.05);
+    fixture.Want(Copy("m2"));
+    for (const PlannedOrder& order : fixture.Step()) {
+      fixture.Finish(order);
+      loaded = loaded || order.copy.model.value == "m2";
+    }
+    fixture.clock.Advance(seconds(1));
+  }
+  BOOST_TEST(loaded);
+}
+
 }  // namespace
 }  // namespace pimentospar
--- a/test/gateway/relay_test.cc
+++ b/test/gateway/relay_test.cc
@@ -128,6 +128,7 @@
   TargetBoard board{clock, random, {}};
   FiberSignal board_changed;
   RetryWindow retries{clock, {0.2, std::chrono::seconds(10), 50, 1.0}};
+  StreamLengths lengths;
   CopyInterest interest;
   Metrics metrics;
   std::shared_ptr<const RouteTable> table;
@@ -139,6 +140,7 @@
                    board,
                    board_changed,
                    retries,
+                   lengths,
                    interest,
                    metrics,
                    [this] { return this->table; },
--- a/test/target_board_test.cc
+++ b/test/target_board_test.cc
@@ -201,5 +201,27 @@
   BOOST_TEST(std::holds_alternative<NoUsableTarget>(this->board.Choose(query)));
 }
 
+BOOST_FIXTURE_TEST_CASE(LeavesOutTargetsWhoseStreamsAreTooSlow, Fixture) {
+  this->board.OnTarget(Target("slow"));
+  TargetQuery query = this->Query();
+  query.events = 13;
+  query.left = seconds(5);
+  for (int i = 0; i < 50; ++i) {
+    this->board.OnEvent(TargetId("slow"), milliseconds(430));
+  }
+  BOOST_TEST(std::holds_alternative<AllOverloaded>(this->board.Choose(query)));
+  // The length of the answer is not known.
+  BOOST_TEST(this->ChosenName(this->Query()) == "slow");
+  query.left = seconds(8);
+  BOOST_TEST(this->ChosenName(query) == "slow");
+  query.left = seconds(5);
+  this->board.OnTarget(Target("other"));
+  BOOST_TEST(this->ChosenName(query) == "other");
+  this->clock.Advance(seconds(4));
+  const TargetId other("other");
+  BOOST_TEST(this->board.OnRemoved(other, this->clock.Now()));
+  BOOST_TEST(this->ChosenName(query) == "slow");
+}
+
 }  // namespace
 }  // namespace pimentospar
