--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -87,11 +87,11 @@
   /// further copy.
   double crowded_places = 0.9;
   /// Gain of a copy that brings places for adapters, as work per time.
-  double place_gain = 0.2;
+  double place_gain = 0.1;
   /// Gain of the first copy of a model, as work per time beside its own, and
   /// its growth for each second that requests lack it: a rare model waits
   /// behind a busy one, but not longer than `longest_wait`.
-  double first_copy_gain = 0.15;
+  double first_copy_gain = 0.2;
   double waiting_gain = 0.05;
   Duration longest_wait = std::chrono::seconds(5);
   /// Worth of keeping the only copy of a model in use, beside its work.
