--- a/include/pimentospar/routing/target_board.h
+++ b/include/pimentospar/routing/target_board.h
@@ -138,7 +138,10 @@
 /// No target may take the request.
 struct NoUsableTarget {};
 /// Targets hold the copy, but none is expected to end the answer in time.
-struct AllOverloaded {};
+struct AllOverloaded {
+  /// The shortest time in which one of them is expected to end it.
+  Duration shortest{0};
+};
 using BoardChoice =
     std::variant<ChosenTarget, NeedsCopy, NoUsableTarget, AllOverloaded>;
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -541,7 +541,11 @@
     return this->Refuse(kUnavailable, Reason::kNoTarget, kRetryAfterStart);
   }
   const BoardChoice choice = this->parts.board.Choose(query);
-  if (std::holds_alternative<AllOverloaded>(choice)) {
+  if (const auto* overloaded = std::get_if<AllOverloaded>(&choice)) {
+    LogInfo("targets_overloaded", {{"request", this->meta.id},
+                                   {"events", query.events},
+                                   {"shortest_ms", overloaded->shortest},
+                                   {"left_ms", query.left}});
     return this->Refuse(kUnavailable, Reason::kOverloaded, kRetryAfterOverload);
   }
   const auto* missing = std::get_if<NeedsCopy>(&choice);
--- a/src/routing/target_board.cc
+++ b/src/routing/target_board.cc
@@ -313,7 +313,7 @@
   Estimate best_estimate;
   double best_cost = std::numeric_limits<double>::infinity();
   bool best_is_trial = false;
-  bool overloaded = false;
+  std::optional<AllOverloaded> overloaded;
   for (const Target* target : candidates) {
     const Estimate estimate = this->EstimateFor(*target, query, homes, now);
     const double weight = target->health.Weight();
@@ -321,7 +321,7 @@
     const Duration whole = Scale(estimate.expected, target->pace) +
                            query.events * target->events.Gap(now);
     if (query.events > 0 && whole > query.left) {
-      overloaded = true;
+      overloaded = {overloaded ? std::min(overloaded->shortest, whole) : whole};
       continue;
     }
     const double cost =
@@ -337,7 +337,7 @@
     }
   }
   if (best == nullptr) {
-    return overloaded ? AllOverloaded{} : this->WithoutCandidates(query, now);
+    return overloaded ? *overloaded : this->WithoutCandidates(query, now);
   }
   return ChosenTarget{best->description.id,
                       best->description.address,
--- a/test/target_board_test.cc
+++ b/test/target_board_test.cc
@@ -209,7 +209,9 @@
   for (int i = 0; i < 50; ++i) {
     this->board.OnEvent(TargetId("slow"), milliseconds(430));
   }
-  BOOST_TEST(std::holds_alternative<AllOverloaded>(this->board.Choose(query)));
+  const BoardChoice choice = this->board.Choose(query);
+  BOOST_REQUIRE(std::holds_alternative<AllOverloaded>(choice));
+  BOOST_TEST((std::get<AllOverloaded>(choice).shortest > seconds(5)));
   // The length of the answer is not known.
   BOOST_TEST(this->ChosenName(this->Query()) == "slow");
   query.left = seconds(8);
