--- a/include/pimentospar/clock.h
+++ b/include/pimentospar/clock.h
@@ -12,6 +12,17 @@
 using WallTime = std::chrono::time_point<std::chrono::system_clock,
                                          std::chrono::milliseconds>;
 
+/// Returns the duration in seconds.
+[[nodiscard]] constexpr double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+/// Returns the duration times a factor, rounded towards zero.
+[[nodiscard]] constexpr Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 /// Source of time, passed to each component through its constructor.
 class Clock {
  public:
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -14,15 +14,6 @@
 // A shorter time would make callers return before the load has changed.
 constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 std::size_t LevelOf(Priority priority) {
   return static_cast<std::size_t>(priority);
 }
--- a/src/demand.cc
+++ b/src/demand.cc
@@ -15,10 +15,6 @@
 // Weight of a request in the means of its tokens.
 constexpr double kTokenStep = 0.02;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 void DemandTracker::OnReport(const ModelId& model, const DemandReport& report) {
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -46,9 +46,8 @@
     model.id = config.id;
     model.weight_bytes = static_cast<double>(config.weight_bytes);
     model.kv_bytes_per_token = static_cast<double>(config.kv_bytes_per_token);
-    model.between_tokens = std::max(
-        0.001,
-        std::chrono::duration<double>(config.latency.between_tokens).count());
+    model.between_tokens =
+        std::max(0.001, Seconds(config.latency.between_tokens));
     this->model_index[config.id] = index;
     this->models.push_back(std::move(model));
     this->missing.push_back(index);
--- a/src/placement_step.cc
+++ b/src/placement_step.cc
@@ -125,8 +125,7 @@
     }
     // Of equal gains the one with fewer unloads is taken.
     const auto net = [&](const Candidate& option) {
-      return option.gain *
-                 std::chrono::duration<double>(this->options.horizon).count() -
+      return option.gain * Seconds(this->options.horizon) -
              this->MoveCost(1 + option.evicted.size());
     };
     if (!found || net(candidate) > net(best)) {
@@ -231,8 +230,7 @@
     return this->models[left].demand.requests_per_second >
            this->models[right].demand.requests_per_second;
   });
-  const double horizon =
-      std::chrono::duration<double>(this->options.horizon).count();
+  const double horizon = Seconds(this->options.horizon);
   for (const Index model : lost) {
     if (grants == 0) {
       return;
@@ -249,8 +247,7 @@
 
 Planner::Action Planner::BestAction(Index target, bool may_load) const {
   Action best;
-  const double horizon =
-      std::chrono::duration<double>(this->options.horizon).count();
+  const double horizon = Seconds(this->options.horizon);
   std::vector<Copy> copies = this->targets[target].copies;
   std::ranges::sort(copies, [](const Copy& left, const Copy& right) {
     return left.load.compute > right.load.compute;
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -21,10 +21,6 @@
 constexpr double kNoRequests = 0.05;
 constexpr std::chrono::seconds kInterestRetention{60};
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 const LoadedModel* FindModel(std::span<const LoadedModel> models,
                              const ModelId& model) {
   const auto found = std::ranges::find(models, model, &LoadedModel::model);
--- a/src/prefix_belief.cc
+++ b/src/prefix_belief.cc
@@ -13,10 +13,6 @@
   return Hash64(model.value, prefix_hash);
 }
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 void PrefixBelief::Confirm(std::uint64_t key, TimePoint now) {
--- a/src/retry.cc
+++ b/src/retry.cc
@@ -5,14 +5,6 @@
 
 namespace pimentospar {
 
-namespace {
-
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
-
 RetryBudget::RetryBudget(const Clock& clock, const RetryOptions& options)
     : clock(clock), options(options), updated(clock.Now()) {}
 
--- a/src/routing/stream_pace.cc
+++ b/src/routing/stream_pace.cc
@@ -10,15 +10,13 @@
 // Weight of one event, and of one stream, in the mean.
 constexpr double kEventGain = 0.1;
 constexpr double kStreamGain = 0.1;
+// What was seen counts in full for as long as a slow target takes for an event,
+// and half after each further half-life.
+constexpr std::chrono::milliseconds kFresh{500};
 constexpr std::chrono::milliseconds kHalfLife{1000};
 // Bounds the routes that are remembered.
 constexpr std::size_t kMaxRoutes = 4096;
 
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 void StreamPace::OnEvent(Duration gap, TimePoint now) {
@@ -28,10 +26,10 @@
 }
 
 Duration StreamPace::Gap(TimePoint now) const {
-  const double half_lives =
-      std::chrono::duration<double>(now - this->seen_at).count() /
-      std::chrono::duration<double>(kHalfLife).count();
-  return Scale(this->mean, std::exp2(-std::max(0.0, half_lives - 0.5)));
+  const Duration idle =
+      std::max(Duration(0), now - this->seen_at - Duration(kFresh));
+  const double half_lives = Seconds(idle) / Seconds(kHalfLife);
+  return Scale(this->mean, std::exp2(-half_lives));
 }
 
 void StreamLengths::OnStream(const std::string& route, std::uint32_t events) {
--- a/src/routing/target_board.cc
+++ b/src/routing/target_board.cc
@@ -23,11 +23,6 @@
 // A pace is learnt only from expected times that noise does not dominate.
 constexpr std::chrono::milliseconds kPaceFloor{20};
 
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 bool Holds(const Inventory& inventory, const CopyRef& copy) {
@@ -170,10 +165,8 @@
 }
 
 double TargetBoard::DecayOf(const Target& target, TimePoint now) const {
-  const double age =
-      std::chrono::duration<double>(now - target.load_reported).count();
-  const double half_life =
-      std::chrono::duration<double>(this->options.report_half_life).count();
+  const double age = Seconds(now - target.load_reported);
+  const double half_life = Seconds(this->options.report_half_life);
   return std::exp2(-age / half_life);
 }
 
--- a/src/target_choice.cc
+++ b/src/target_choice.cc
@@ -16,15 +16,6 @@
 // was restarted, not from a report that was overtaken.
 constexpr Duration kSequenceRestart = std::chrono::seconds(5);
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 template <typename Range, typename Value>
 bool Contains(const Range& range, const Value& value) {
   return std::ranges::find(range, value) != std::ranges::end(range);
