Read the newest values after a long outage of the log

It had missed 16 configurations; its stream of configurations never came back, while its stream of targets did after 1.6 s.

Likely, not shown: the read of all missed records did not end within its limit of 2.7 s, each time anew.

Change: after 2 s without an answer a follower reads the newest values, which are few, and the handler knows of the outage before it hears them.

Test: ReadsTheNewestValuesAfterALongOutage, failed before.

--- a/src/gateway/keyed_follower.cc
+++ b/src/gateway/keyed_follower.cc
@@ -13,6 +13,9 @@
 // The pace is asked again this often while a pause lasts.
 constexpr std::chrono::milliseconds kPaceStep{300};
 constexpr std::chrono::milliseconds kLongestPause{800};
+// What was missed in more than this may take too long to read; the newest
+// values are fewer.
+constexpr std::chrono::milliseconds kLongOutage{2000};
 // Doublings of the first pause up to the longest.
 constexpr std::uint32_t kMaxDoublings = 3;
 // Bounds the offsets of keys that were dropped.
@@ -100,6 +103,7 @@
     this->needs_all = true;
     return;
   }
+  this->needs_all = this->needs_all || this->Age() > kLongOutage;
   if (this->failures++ == 0) {
     LogWarning("log_lost", {{"stream", this->options.stream},
                             {"status", ToString(status)}});
@@ -136,6 +140,8 @@
     this->seen[item.key] = item.offset;
   }
   this->has_all = true;
+  // The handler has to know first that the log was away.
+  this->OnAnswered();
   this->handler.on_all(all);
   return LogStatus::kDone;
 }
--- a/test/gateway/keyed_follower_test.cc
+++ b/test/gateway/keyed_follower_test.cc
@@ -113,5 +113,21 @@
   BOOST_TEST(known.follower->HasAll());
 }
 
+// The records that were missed may be too many for one read, again and again.
+BOOST_AUTO_TEST_CASE(ReadsTheNewestValuesAfterALongOutage) {
+  Known& known = Known::Create();
+  known.Set("a", "0");
+  known.Start();
+  BOOST_TEST(Eventually([&] { return known.values["a"] == "0"; }));
+  known.log.down = true;
+  for (int i = 1; i <= 20; ++i) {
+    known.log.streams["k"].push_back("a=" + std::to_string(i));
+  }
+  boost::this_fiber::sleep_for(milliseconds(2500));
+  known.log.longest_read = 10;
+  known.log.down = false;
+  BOOST_TEST(Eventually([&] { return known.values["a"] == "20"; }));
+}
+
 }  // namespace
 }  // namespace pimentospar
--- a/test/gateway/support.h
+++ b/test/gateway/support.h
@@ -249,6 +249,10 @@
       read.first = this->first[name];
       return read;
     }
+    if (records.size() > from.value + this->longest_read) {
+      read.status = LogStatus::kUnknown;
+      return read;
+    }
     for (std::size_t i = from.value; i < records.size(); ++i) {
       read.records.push_back(records[i]);
     }
@@ -302,6 +306,8 @@
   std::deque<bool> lost_appends;
   std::function<void()> between_pages;
   std::size_t page_size = 100;
+  /// Reads of more records than this do not end in time.
+  std::size_t longest_read = 1000;
   std::size_t calls = 0;
   bool down = false;
   FiberSignal changed;
