--- a/include/pimentospar/random.h
+++ b/include/pimentospar/random.h
@@ -21,7 +21,7 @@
   double Unit() { return static_cast<double>(this->Next() >> 11) * 0x1.0p-53; }
 };
 
-/// A generator with a fixed seed, for tests and benches.
+/// A generator whose numbers its seed determines. Not for several threads.
 class SeededRandom final : public RandomSource {
  public:
   explicit SeededRandom(std::uint64_t seed) : engine(seed) {}
--- a/src/control/gossip_codec.cc
+++ b/src/control/gossip_codec.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gossip.capnp.h"
+#include "rpc/wire_values.h"
 
 namespace pimentospar {
 
@@ -15,15 +16,6 @@
 
 using std::chrono::milliseconds;
 
-std::string Text(capnp::Text::Reader text) {
-  return {text.cStr(), text.size()};
-}
-
-std::uint32_t ToWire(milliseconds time) {
-  return static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(time.count(), 0, 0xffffffff));
-}
-
 struct BodyWriter {
   wire::Gossip::Body::Builder to;
 
--- a/src/ctl/http_client.cc
+++ b/src/ctl/http_client.cc
@@ -1,11 +1,11 @@
 #include "ctl/http_client.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
-#include <charconv>
+
+#include "net/address.h"
 
 namespace pimentospar::ctl {
 
@@ -20,23 +20,6 @@
 constexpr std::size_t kMaxAnswer = std::size_t{64} << 20;
 constexpr std::string_view kRecords = "/v1/streams/config/records";
 
-std::optional<asio::ip::tcp::endpoint> ParseAddress(std::string_view text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  boost::system::error_code error;
-  const auto ip =
-      asio::ip::make_address(std::string(text.substr(0, colon)), error);
-  std::uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto read = std::from_chars(text.data() + colon + 1, end, port);
-  if (error || read.ec != std::errc() || read.ptr != end) {
-    return std::nullopt;
-  }
-  return asio::ip::tcp::endpoint(ip, port);
-}
-
 ConfigPage ReadPage(const json::object& object) {
   ConfigPage page;
   page.first = LogOffset{object.at("first").to_number<std::uint64_t>()};
@@ -59,8 +42,8 @@
                 std::string_view body,
                 std::string_view token) {
   HttpResult result;
-  const auto endpoint = ParseAddress(address);
-  if (!endpoint) {
+  const auto parsed = ParseAddress(address);
+  if (!parsed) {
     return result;
   }
   asio::io_context context;
@@ -79,26 +62,27 @@
   parser.body_limit(kMaxAnswer);
   stream.expires_after(kTimeout);
   // The time-out holds for asynchronous calls only, so they are chained here.
-  stream.async_connect(*endpoint, [&](boost::system::error_code failed) {
-    if (failed) {
-      return;
-    }
-    result.sent = true;
-    http::async_write(
-        stream, request, [&](boost::system::error_code error, std::size_t) {
-          if (error) {
-            return;
-          }
-          http::async_read(stream, buffer, parser,
-                           [&](boost::system::error_code end, std::size_t) {
-                             if (!end) {
-                               result.answer =
-                                   HttpAnswer{parser.get().result_int(),
-                                              parser.get().body()};
-                             }
-                           });
-        });
-  });
+  stream.async_connect(
+      parsed->ToEndpoint(), [&](boost::system::error_code failed) {
+        if (failed) {
+          return;
+        }
+        result.sent = true;
+        http::async_write(
+            stream, request, [&](boost::system::error_code error, std::size_t) {
+              if (error) {
+                return;
+              }
+              http::async_read(stream, buffer, parser,
+                               [&](boost::system::error_code end, std::size_t) {
+                                 if (!end) {
+                                   result.answer =
+                                       HttpAnswer{parser.get().result_int(),
+                                                  parser.get().body()};
+                                 }
+                               });
+            });
+      });
   context.run();
   return result;
 }
--- a/src/gateway/entry_link.cc
+++ b/src/gateway/entry_link.cc
@@ -66,11 +66,17 @@
   this->handler(*message);
 }
 
-void EntryLink::OnEntry(const HostId& host, const UdpEndpoint& address) {
+void EntryLink::OnEntry(const HostId& host, const Address& address) {
   if (host == this->self) {
     return;
   }
-  this->peers[host].address = address;
+  const Tcp::endpoint endpoint = address.ToEndpoint();
+  this->peers[host].address = {endpoint.address(), endpoint.port()};
+}
+
+Address EntryLink::LocalAddress() const {
+  const UdpEndpoint local = this->socket.local_endpoint();
+  return {local.address().to_string(), local.port()};
 }
 
 std::string EntryLink::Seal(EntryMessage& message) {
--- a/src/gateway/entry_link.h
+++ b/src/gateway/entry_link.h
@@ -8,6 +8,7 @@
 
 #include "gateway/entry_message.h"
 #include "gateway/fiber_loop.h"
+#include "net/address.h"
 #include "pimentospar/clock.h"
 
 namespace pimentospar {
@@ -37,7 +38,7 @@
 
   void Start();
   /// Adds an entry, or changes its address.
-  void OnEntry(const HostId& host, const UdpEndpoint& address);
+  void OnEntry(const HostId& host, const Address& address);
   void OnEntryGone(const HostId& host) { this->peers.erase(host); }
 
   /// Fills in who sends, and sends to one entry.
@@ -49,9 +50,7 @@
   [[nodiscard]] std::optional<HostId> Planner() const;
   /// Returns the number of registered entries, with this one.
   [[nodiscard]] std::size_t Count() const { return this->peers.size() + 1; }
-  [[nodiscard]] UdpEndpoint LocalAddress() const {
-    return this->socket.local_endpoint();
-  }
+  [[nodiscard]] Address LocalAddress() const;
 
  private:
   void Receive();
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -5,6 +5,7 @@
 #include <kj/io.h>
 
 #include "gateway.capnp.h"
+#include "rpc/wire_values.h"
 
 namespace pimentospar {
 
@@ -15,15 +16,6 @@
 // A message of the largest datagram; anything beyond is not one of ours.
 constexpr std::uint64_t kMaxWords = 64ULL * 1024;
 
-std::string Text(capnp::Text::Reader text) {
-  return {text.cStr(), text.size()};
-}
-
-std::uint32_t ToMs(Duration time) {
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 void Write(wire::EntryCopy::Builder to, const ServiceCopy& from) {
   to.setService(from.service.value);
   to.setModel(from.copy.model.value);
@@ -71,8 +63,8 @@
   to.setFingerprint(from.fingerprint.value);
   to.setCrash(from.crash.value);
   to.setCleared(from.cleared);
-  to.setAgeMs(ToMs(from.age));
-  to.setLastSeenAgeMs(ToMs(from.last_seen_age));
+  to.setAgeMs(ToWire(from.age));
+  to.setLastSeenAgeMs(ToWire(from.last_seen_age));
 }
 
 StrikeReport Read(wire::EntryStrike::Reader from) {
@@ -83,7 +75,7 @@
 
 void WriteFeed(wire::EntryMessage::Builder to, const EntryMessage& from) {
   to.setRegistrationCount(from.registration_count);
-  to.setRegistrationAgeMs(ToMs(from.registration_age));
+  to.setRegistrationAgeMs(ToWire(from.registration_age));
   auto registrations =
       to.initRegistrations(static_cast<unsigned>(from.registrations.size()));
   unsigned index = 0;
@@ -122,7 +114,7 @@
     auto row = demand[index++];
     Write(row.initCopy(), entry.copy);
     row.setRequests(static_cast<std::uint32_t>(entry.requests));
-    row.setWorkMs(ToMs(entry.work));
+    row.setWorkMs(ToWire(entry.work));
   }
   auto wanted = to.initWanted(static_cast<unsigned>(from.wanted.size()));
   index = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <set>
 
+#include "net/address.h"
 #include "net/log_line.h"
 
 namespace pimentospar {
@@ -59,18 +60,6 @@
   return options;
 }
 
-std::optional<UdpEndpoint> ParseUdp(std::string_view text) {
-  const auto endpoint = ParseEndpoint(text);
-  if (!endpoint) {
-    return std::nullopt;
-  }
-  return UdpEndpoint(endpoint->address(), endpoint->port());
-}
-
-std::string ToText(const UdpEndpoint& endpoint) {
-  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 }  // namespace
 
 Gateway::Gateway(FiberLoop& loop,
@@ -139,7 +128,7 @@
             clock,
             random,
             this->instance,
-            ToText(this->link.LocalAddress()),
+            ToString(this->link.LocalAddress()),
             platform.log,
             LeaseOptionsOf(settings)),
       orders(loop,
@@ -347,7 +336,7 @@
   bool listed = false;
   for (const KeyedItem& item : all) {
     listed = listed || (item.key == this->settings.host.value &&
-                        item.value == ToText(this->link.LocalAddress()));
+                        item.value == ToString(this->link.LocalAddress()));
     this->OnEntry(item);
   }
   if (!listed && !this->draining) {
@@ -358,7 +347,7 @@
 void Gateway::OnEntry(const KeyedItem& item) {
   const HostId host(item.key);
   const auto address =
-      item.value ? ParseUdp(*item.value) : std::optional<UdpEndpoint>();
+      item.value ? ParseAddress(*item.value) : std::optional<Address>();
   if (address) {
     this->link.OnEntry(host, *address);
   } else {
@@ -368,7 +357,7 @@
 
 void Gateway::Register() {
   constexpr std::chrono::milliseconds kPause{500};
-  const std::string address = ToText(this->link.LocalAddress());
+  const std::string address = ToString(this->link.LocalAddress());
   while (!this->draining &&
          this->platform.log.AppendKeyed(this->platform.registry.EntryStream(),
                                         this->settings.host.value,
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -8,6 +8,8 @@
 #include <boost/beast/http/read.hpp>
 #include <charconv>
 
+#include "net/address.h"
+
 namespace pimentospar {
 
 namespace {
@@ -47,24 +49,6 @@
 
 }  // namespace
 
-std::optional<Tcp::endpoint> ParseEndpoint(std::string_view text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  error_code error;
-  const auto ip = boost::asio::ip::make_address(text.substr(0, colon), error);
-  const std::string_view digits = text.substr(colon + 1);
-  std::uint16_t port = 0;
-  const auto parsed =
-      std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (error || parsed.ec != std::errc() ||
-      parsed.ptr != digits.data() + digits.size()) {
-    return std::nullopt;
-  }
-  return Tcp::endpoint(ip, port);
-}
-
 std::unique_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
     const std::string& address) {
   const auto found = this->idle.find(address);
@@ -86,8 +70,8 @@
 
 std::unique_ptr<UpstreamConnection> UpstreamPool::Connect(
     const std::string& address) {
-  const auto endpoint = ParseEndpoint(address);
-  if (!endpoint) {
+  const auto peer = ParseAddress(address);
+  if (!peer) {
     return nullptr;
   }
   auto connection = std::make_unique<UpstreamConnection>(this->loop.Context());
@@ -98,7 +82,7 @@
     socket.close(ignored);
   });
   const IoResult connected = Await([&](auto handler) {
-    socket.async_connect(*endpoint, std::move(handler));
+    socket.async_connect(peer->ToEndpoint(), std::move(handler));
   });
   if (!connected.IsGood() || !socket.is_open()) {
     return nullptr;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -16,9 +16,6 @@
 
 namespace pimentospar {
 
-/// Parses `IP:PORT`; nothing if it is not one.
-[[nodiscard]] std::optional<Tcp::endpoint> ParseEndpoint(std::string_view text);
-
 /// A connection to a target or to the platform.
 struct UpstreamConnection {
   explicit UpstreamConnection(boost::asio::io_context& context)
--- a/src/rpc/convert.cc
+++ b/src/rpc/convert.cc
@@ -1,13 +1,11 @@
 #include "rpc/convert.h"
 
+#include "rpc/wire_values.h"
+
 namespace pimentospar {
 
 namespace {
 
-std::string Text(capnp::Text::Reader text) {
-  return {text.cStr(), text.size()};
-}
-
 std::string Data(capnp::Data::Reader data) {
   return {reinterpret_cast<const char*>(data.begin()), data.size()};
 }
@@ -29,14 +27,10 @@
              : Executed::kUnknown;
 }
 
-std::uint32_t ToMilliseconds(std::chrono::milliseconds time) {
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, time.count()));
-}
-
 }  // namespace
 
 void Write(wire::Load::Builder to, const TargetLoad& from) {
-  to.setQueuedWorkMs(ToMilliseconds(from.queued_work));
+  to.setQueuedWorkMs(ToWire(from.queued_work));
   to.setRunning(from.running);
   to.setWaiting(from.waiting);
   to.setFreeKvBytes(from.free_kv_bytes);
@@ -77,7 +71,7 @@
   to.setAdapter(from.adapter.value);
   to.setPriority(static_cast<std::uint8_t>(from.priority));
   to.setBody(AsData(from.body));
-  to.setRemainingMs(ToMilliseconds(from.remaining));
+  to.setRemainingMs(ToWire(from.remaining));
   to.setFingerprint(from.fingerprint.value);
   auto tokens =
       to.initResumeTokens(static_cast<unsigned>(from.resume_tokens.size()));
@@ -118,7 +112,7 @@
   to.setOperation(from.operation.value);
   to.setIdempotencyKey(from.idempotency_key);
   to.setBody(AsData(from.body));
-  to.setRemainingMs(ToMilliseconds(from.remaining));
+  to.setRemainingMs(ToWire(from.remaining));
   to.setFingerprint(from.fingerprint.value);
   to.setConfigVersion(from.config_version.value);
   to.setStruck(from.struck);
@@ -145,7 +139,7 @@
   to.setExecuted(static_cast<std::uint8_t>(from.executed));
   to.setStatus(static_cast<std::uint16_t>(from.status));
   to.setDetail(from.detail);
-  to.setRetryAfterMs(ToMilliseconds(from.retry_after));
+  to.setRetryAfterMs(ToWire(from.retry_after));
   Write(to.initLoad(), from.load);
   to.setBody(AsData(from.body));
   to.setChunks(from.chunks);
--- /dev/null
+++ b/src/rpc/wire_values.h
@@ -0,0 +1,30 @@
+#ifndef SRC_RPC_WIRE_VALUES_H_
+#define SRC_RPC_WIRE_VALUES_H_
+
+#include <capnp/blob.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+#include "pimentospar/clock.h"
+
+namespace pimentospar {
+
+/// Returns a text of a message.
+[[nodiscard]] inline std::string Text(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+/// Returns whole milliseconds as messages carry them: 0 for a negative time,
+/// and the largest number for one that does not fit.
+[[nodiscard]] inline std::uint32_t ToWire(Duration time) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(milliseconds, 0, 0xffffffff));
+}
+
+}  // namespace pimentospar
+
+#endif  // SRC_RPC_WIRE_VALUES_H_
