Remove what nothing uses, and take the time of alarms from the clock

Cause: strikes stood in the message between entries although no entry fills them, settings of routes and engines were read and never used (priority, slots, tokens of memory), and five functions had no caller. Alarms and FiberSignal read the steady clock directly.

Change: all of it is removed; the schema has no numbers to keep, as nothing was released. Alarms take the clock, FiberSignal waits for a duration.

The quarantine of requests that crash targets, for which the strikes were meant, is still not wired into the gateway.

--- a/include/pimentospar/routing/event_stream.h
+++ b/include/pimentospar/routing/event_stream.h
@@ -28,8 +28,6 @@
   [[nodiscard]] std::size_t Pending() const {
     return this->buffer.size() - this->used;
   }
-  /// Forgets a part of an event; for a stream that goes on elsewhere.
-  void Clear();
 
  private:
   std::string buffer;
--- a/include/pimentospar/routing/route_table.h
+++ b/include/pimentospar/routing/route_table.h
@@ -33,8 +33,6 @@
   /// Time of the answer, or of the first event of a stream, that callers aim
   /// at.
   std::chrono::milliseconds goal{0};
-  /// 0 is the most urgent.
-  std::uint32_t priority = 0;
   std::vector<WeightedService> services;
   /// Targets at which one request may run.
   std::uint32_t attempts = 1;
@@ -60,8 +58,6 @@
 
 /// The engines of a service; all have the same size.
 struct EngineSpec {
-  std::uint32_t slots = 1;
-  std::uint64_t kv_tokens = 0;
   /// Memory for weights and adapters.
   Bytes memory_bytes = 0;
   std::uint32_t adapter_slots = 0;
--- a/schema/gateway.capnp
+++ b/schema/gateway.capnp
@@ -15,14 +15,13 @@
   demand @5 :List(EntryDemand);
   wanted @6 :List(EntryCopy);
   inventories @7 :List(EntryInventory);
-  strikes @8 :List(EntryStrike);
   # From the holder of the lease, so that the others read the log less often.
-  registrations @9 :List(EntryRegistration);
+  registrations @8 :List(EntryRegistration);
   # Changes of registrations that the sender has told of since it started.
-  registrationCount @10 :UInt64;
+  registrationCount @9 :UInt64;
   # Time since the sender last read the registrations.
-  registrationAgeMs @11 :UInt32;
-  loads @12 :List(EntryLoad);
+  registrationAgeMs @10 :UInt32;
+  loads @11 :List(EntryLoad);
 }
 
 struct EntryRegistration {
@@ -62,11 +61,3 @@
   orders @2 :UInt64;
   models @3 :List(EntryModel);
 }
-
-struct EntryStrike {
-  fingerprint @0 :UInt64;
-  crash @1 :UInt64;
-  cleared @2 :Bool;
-  ageMs @3 :UInt32;
-  lastSeenAgeMs @4 :UInt32;
-}
--- a/src/gateway/alarms.cc
+++ b/src/gateway/alarms.cc
@@ -2,7 +2,9 @@
 
 namespace pimentospar {
 
-Alarms::Queue::iterator Alarms::Add(Time time, std::function<void()> call) {
+Alarms::Queue::iterator Alarms::Add(Duration delay,
+                                    std::function<void()> call) {
+  const TimePoint time = this->clock.Now() + delay;
   const auto entry = this->queue.emplace(time, std::move(call));
   if (time < this->armed) {
     this->Arm(time);
@@ -10,9 +12,9 @@
   return entry;
 }
 
-void Alarms::Arm(Time time) {
+void Alarms::Arm(TimePoint time) {
   this->armed = time;
-  this->timer.expires_at(time);
+  this->timer.expires_after(time - this->clock.Now());
   this->timer.async_wait([this](error_code error) {
     if (!error) {
       this->OnTimer();
@@ -21,8 +23,8 @@
 }
 
 void Alarms::OnTimer() {
-  this->armed = Time::max();
-  const Time now = std::chrono::steady_clock::now();
+  this->armed = TimePoint::max();
+  const TimePoint now = this->clock.Now();
   while (!this->queue.empty() && this->queue.begin()->first <= now) {
     // The call erases its entry through the alarm's destruction, or here.
     const auto node = this->queue.extract(this->queue.begin());
@@ -35,10 +37,7 @@
 
 Alarm::Alarm(Alarms& alarms, Duration delay, std::function<void()> call)
     : alarms(alarms), call(std::move(call)) {
-  const auto time =
-      std::chrono::steady_clock::now() +
-      std::chrono::duration_cast<std::chrono::steady_clock::duration>(delay);
-  this->entry = alarms.Add(time, [this] {
+  this->entry = alarms.Add(delay, [this] {
     this->fired = true;
     this->call();
   });
--- a/src/gateway/alarms.h
+++ b/src/gateway/alarms.h
@@ -13,24 +13,25 @@
 /// cancelled before they are due and arming a timer costs a system call.
 class Alarms {
  public:
-  explicit Alarms(FiberLoop& loop) : timer(loop.Context()) {}
+  Alarms(FiberLoop& loop, const Clock& clock)
+      : clock(clock), timer(loop.Context()) {}
 
  private:
   friend class Alarm;
-  using Time = std::chrono::steady_clock::time_point;
-  using Queue = std::multimap<Time, std::function<void()>>;
+  using Queue = std::multimap<TimePoint, std::function<void()>>;
 
-  Queue::iterator Add(Time time, std::function<void()> call);
-  void Arm(Time time);
+  Queue::iterator Add(Duration delay, std::function<void()> call);
+  void Arm(TimePoint time);
   void OnTimer();
 
+  const Clock& clock;
   boost::asio::basic_waitable_timer<
       std::chrono::steady_clock,
       boost::asio::wait_traits<std::chrono::steady_clock>,
       Executor>
       timer;
   Queue queue;
-  Time armed = Time::max();
+  TimePoint armed = TimePoint::max();
 };
 
 /// An alarm that its destruction cancels.
@@ -41,8 +42,6 @@
   Alarm& operator=(const Alarm&) = delete;
   ~Alarm();
 
-  [[nodiscard]] bool HasFired() const { return this->fired; }
-
  private:
   Alarms& alarms;
   std::function<void()> call;
--- a/src/gateway/caller_channel.cc
+++ b/src/gateway/caller_channel.cc
@@ -131,7 +131,6 @@
   if (this->IsGone()) {
     return false;
   }
-  this->begun = true;
   const std::array<boost::asio::const_buffer, 3> parts = {
       boost::asio::buffer(first.data(), first.size()),
       boost::asio::buffer(second.data(), second.size()),
--- a/src/gateway/caller_channel.h
+++ b/src/gateway/caller_channel.h
@@ -30,9 +30,6 @@
   bool SendChunk(std::string_view head, std::string_view data);
   bool EndChunks(std::string_view head);
 
-  /// Returns whether any byte of the answer was sent.
-  [[nodiscard]] bool HasBegun() const { return this->begun; }
-
  private:
   struct Watcher;
 
@@ -45,7 +42,6 @@
   Alarms& alarms;
   Duration stall_time;
   std::shared_ptr<Watcher> watcher;
-  bool begun = false;
 };
 
 /// Returns the line that begins an answer.
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -59,20 +59,6 @@
   return read;
 }
 
-void Write(wire::EntryStrike::Builder to, const StrikeReport& from) {
-  to.setFingerprint(from.fingerprint.value);
-  to.setCrash(from.crash.value);
-  to.setCleared(from.cleared);
-  to.setAgeMs(ToWire(from.age));
-  to.setLastSeenAgeMs(ToWire(from.last_seen_age));
-}
-
-StrikeReport Read(wire::EntryStrike::Reader from) {
-  return {Fingerprint{from.getFingerprint()}, CrashId{from.getCrash()},
-          from.getCleared(), milliseconds(from.getAgeMs()),
-          milliseconds(from.getLastSeenAgeMs())};
-}
-
 void WriteFeed(wire::EntryMessage::Builder to, const EntryMessage& from) {
   to.setRegistrationCount(from.registration_count);
   to.setRegistrationAgeMs(ToWire(from.registration_age));
@@ -127,11 +113,6 @@
   for (const TargetInventory& entry : from.inventories) {
     Write(inventories[index++], entry);
   }
-  auto strikes = to.initStrikes(static_cast<unsigned>(from.strikes.size()));
-  index = 0;
-  for (const StrikeReport& strike : from.strikes) {
-    Write(strikes[index++], strike);
-  }
   WriteFeed(to, from);
 }
 
@@ -155,9 +136,6 @@
   for (const auto entry : from.getInventories()) {
     read.inventories.push_back(Read(entry));
   }
-  for (const auto strike : from.getStrikes()) {
-    read.strikes.push_back(Read(strike));
-  }
   ReadFeed(from, read);
   return read;
 }
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -8,7 +8,6 @@
 
 #include "pimentospar/planning/copy_planner.h"
 #include "pimentospar/routing/target_board.h"
-#include "pimentospar/strike.h"
 #include "pimentospar/types.h"
 
 namespace pimentospar {
@@ -43,7 +42,6 @@
   std::vector<CopyDemand> demand;
   std::vector<ServiceCopy> wanted;
   std::vector<TargetInventory> inventories;
-  std::vector<StrikeReport> strikes;
   std::vector<RegistrationChange> registrations;
   /// Changes of registrations that the sender has told of since its start,
   /// those of this message included.
--- a/src/gateway/fiber_loop.cc
+++ b/src/gateway/fiber_loop.cc
@@ -75,11 +75,11 @@
       .detach();
 }
 
-bool FiberSignal::WaitUntil(std::chrono::steady_clock::time_point time) {
+bool FiberSignal::WaitFor(Duration duration) {
   std::unique_lock lock(this->mutex);
   const std::uint64_t before = this->changes;
-  return this->condition.wait_until(lock, time,
-                                    [&] { return this->changes != before; });
+  return this->condition.wait_for(lock, duration,
+                                  [&] { return this->changes != before; });
 }
 
 }  // namespace pimentospar
--- a/src/gateway/fiber_loop.h
+++ b/src/gateway/fiber_loop.h
@@ -109,10 +109,7 @@
     this->condition.notify_all();
   }
   /// Returns false if nothing changed in time.
-  bool WaitUntil(std::chrono::steady_clock::time_point time);
-  bool WaitFor(Duration duration) {
-    return this->WaitUntil(std::chrono::steady_clock::now() + duration);
-  }
+  bool WaitFor(Duration duration);
 
  private:
   boost::fibers::mutex mutex;
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -105,9 +105,7 @@
   if (kept <= Duration(0) || connections.size() >= this->options.max_idle) {
     return;
   }
-  connection->usable_until =
-      now +
-      std::chrono::duration_cast<std::chrono::steady_clock::duration>(kept);
+  connection->usable_until = now + kept;
   connections.push_back(std::move(connection));
 }
 
@@ -228,10 +226,6 @@
   }
 }
 
-bool Exchange::WasCancelled() const {
-  return this->state->cancelled;
-}
-
 void Exchange::Release(UpstreamPool& pool) {
   State& state = *this->state;
   // Bytes behind the answer belong to no request, and a request that is not
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -94,7 +94,6 @@
   [[nodiscard]] BodyPart ReadBody(std::string_view& data);
   /// Ends waiting operations; they fail.
   void Cancel();
-  [[nodiscard]] bool WasCancelled() const;
   /// Gives the connection back if another request may follow on it.
   void Release(UpstreamPool& pool);
 
--- a/src/routing/event_stream.cc
+++ b/src/routing/event_stream.cc
@@ -76,12 +76,6 @@
   }
 }
 
-void EventSplitter::Clear() {
-  this->buffer.clear();
-  this->used = 0;
-  this->searched = 0;
-}
-
 EventVerdict EventSequence::OnEvent(std::optional<std::uint64_t> id) {
   if (!id) {
     return EventVerdict::kForward;
--- a/test/gateway/front_test.cc
+++ b/test/gateway/front_test.cc
@@ -40,7 +40,8 @@
     return *all.back();
   }
 
-  Alarms alarms{Loop()};
+  SystemClock clock;
+  Alarms alarms{Loop(), clock};
   bool held = false;
   FiberSignal released;
   Front front;
--- a/test/gateway/platform_test.cc
+++ b/test/gateway/platform_test.cc
@@ -26,8 +26,8 @@
 
 // A server that gives one answer, or none.
 struct Fixture {
-  Alarms alarms{Loop()};
   SystemClock clock;
+  Alarms alarms{Loop(), clock};
   UpstreamPool pool{Loop(), alarms, clock, {}};
   HttpCaller http{pool, alarms, clock};
   std::optional<std::string> answer;
--- a/test/gateway/relay_test.cc
+++ b/test/gateway/relay_test.cc
@@ -122,7 +122,7 @@
 
   SystemClock clock;
   SeededRandom random{3};
-  Alarms alarms{Loop()};
+  Alarms alarms{Loop(), clock};
   UpstreamPool pool{Loop(), alarms, clock, {}};
   platform::Headers headers;
   TargetBoard board{clock, random, {}};
