Keep one piece for inventories, sockets, whole bodies and waiting requests

Cause, each found by reading the whole change: finding, adding and removing a copy stood in the board, the planner and the orders; the options of a socket and the look into it in three files; reading a body to its end in four loops; a request that waits had two functions of the same shape; a refused request asked the board a second time for what the choice had just told; the body of a refusal was read although its connection is closed then.

Change: routing/inventory.h, gateway/sockets.h, Exchange::ReadRest and SkipRest, Relay::AwaitChange; the last choice is kept. The board's view of an attempt's end is one function.

Ruled out: keeping the connection after a refusal.

--- a/include/pimentospar/routing/target_board.h
+++ b/include/pimentospar/routing/target_board.h
@@ -13,37 +13,13 @@
 #include "pimentospar/clock.h"
 #include "pimentospar/prefix_belief.h"
 #include "pimentospar/random.h"
+#include "pimentospar/routing/inventory.h"
 #include "pimentospar/routing/stream_pace.h"
 #include "pimentospar/target_health.h"
 #include "pimentospar/types.h"
 
 namespace pimentospar {
 
-/// A model, or an adapter of it.
-struct CopyRef {
-  ModelId model;
-  /// Empty for the model itself.
-  AdapterId adapter;
-  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on `a < b`
-  auto operator<=>(const CopyRef&) const = default;
-};
-
-/// A model in the memory of a target, with its adapters.
-struct LoadedModel {
-  ModelId model;
-  std::vector<AdapterId> adapters;
-  bool operator==(const LoadedModel&) const = default;
-};
-
-/// What a target holds.
-struct Inventory {
-  /// Time of the target's start, Unix milliseconds.
-  std::int64_t started = 0;
-  /// Orders that the target has accepted since its start, as far as known.
-  std::uint64_t orders = 0;
-  std::vector<LoadedModel> models;
-};
-
 /// A target as it registered itself.
 struct TargetDescription {
   TargetId id;
@@ -271,12 +247,6 @@
   std::unordered_map<ServiceId, Split> splits;
 };
 
-/// Returns whether the inventory has the copy.
-[[nodiscard]] bool Holds(const Inventory& inventory, const CopyRef& copy);
-
-/// Returns the name under which the parts of prompts of a copy are kept.
-[[nodiscard]] ModelId PrefixScope(const CopyRef& copy);
-
 }  // namespace pimentospar
 
 #endif  // INCLUDE_PIMENTOSPAR_ROUTING_TARGET_BOARD_H_
--- a/src/gateway/answer_forwarder.cc
+++ b/src/gateway/answer_forwarder.cc
@@ -125,15 +125,11 @@
   WholeAnswer answer;
   answer.status = exchange.GetHead().result_int();
   answer.head = this->HeadOf(exchange.GetHead());
-  std::string_view data;
-  BodyPart part = exchange.ReadBody(data);
-  while (part == BodyPart::kData) {
-    answer.body += data;
-    part = exchange.ReadBody(data);
-  }
-  if (part == BodyPart::kBroken) {
+  auto body = exchange.ReadRest();
+  if (!body) {
     return ForwardEnd::kBroken;
   }
+  answer.body = std::move(*body);
   exchange.Release(this->pool);
   if (!IsSuccess(answer.status)) {
     this->failed = std::move(answer);
--- a/src/gateway/caller_channel.cc
+++ b/src/gateway/caller_channel.cc
@@ -1,7 +1,6 @@
 #include "gateway/caller_channel.h"
 
 #include <fmt/format.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -9,6 +8,8 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include "gateway/sockets.h"
+
 namespace pimentospar {
 
 namespace {
@@ -96,18 +97,17 @@
     if (!watcher->active) {
       return;
     }
-    char byte = 0;
-    const ssize_t size = error ? -1
-                               : recv(watcher->socket.native_handle(), &byte, 1,
-                                      MSG_PEEK | MSG_DONTWAIT);
-    if (size > 0) {
-      // The next request; it is read after this one.
-      watcher->active = false;
-    } else if (size == 0 || error ||
-               (errno != EAGAIN && errno != EWOULDBLOCK)) {
-      watcher->OnGone();
-    } else {
-      Wait(watcher);
+    switch (error ? Readable::kClosed : Peek(watcher->socket)) {
+      case Readable::kData:
+        // The next request; it is read after this one.
+        watcher->active = false;
+        break;
+      case Readable::kClosed:
+        watcher->OnGone();
+        break;
+      case Readable::kNothing:
+        Wait(watcher);
+        break;
     }
   });
 }
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -1,12 +1,10 @@
 #include "gateway/front.h"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include "gateway/sockets.h"
 #include "net/log_line.h"
 
 namespace pimentospar {
@@ -15,7 +13,7 @@
 
 namespace http = boost::beast::http;
 
-constexpr int kUserTimeoutMs = 5000;
+constexpr std::chrono::milliseconds kUserTimeout{5000};
 constexpr int kBacklog = 1024;
 // Pause after a failed accept, for example without free descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{20};
@@ -79,10 +77,7 @@
       boost::this_fiber::sleep_for(kAcceptPause);
       continue;
     }
-    error_code ignored;
-    connection->socket.set_option(Tcp::no_delay(true), ignored);
-    setsockopt(connection->socket.native_handle(), IPPROTO_TCP,
-               TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof kUserTimeoutMs);
+    SetUpSocket(connection->socket, kUserTimeout);
     this->loop.Spawn([this, connection] { this->Serve(connection); });
   }
 }
--- a/src/gateway/http_call.cc
+++ b/src/gateway/http_call.cc
@@ -23,18 +23,13 @@
   if (!exchange.ReadHead()) {
     return std::nullopt;
   }
-  HttpAnswer answer{exchange.GetHead().result_int(), {}};
-  std::string_view data;
-  BodyPart part = exchange.ReadBody(data);
-  while (part == BodyPart::kData) {
-    answer.body += data;
-    part = exchange.ReadBody(data);
-  }
-  if (part == BodyPart::kBroken) {
+  const unsigned status = exchange.GetHead().result_int();
+  auto body = exchange.ReadRest();
+  if (!body) {
     return std::nullopt;
   }
   exchange.Release(this->pool);
-  return answer;
+  return HttpAnswer{status, std::move(*body)};
 }
 
 std::optional<HttpAnswer> HttpCaller::Call(const HttpCall& call,
--- a/src/gateway/order_duty.cc
+++ b/src/gateway/order_duty.cc
@@ -24,30 +24,6 @@
 // A load or an unload that takes longer is left to the next plan.
 constexpr std::chrono::seconds kLongestOrder{15};
 
-void Remove(Inventory& inventory, const CopyRef& copy) {
-  if (copy.adapter.IsEmpty()) {
-    std::erase_if(inventory.models, [&](const LoadedModel& loaded) {
-      return loaded.model == copy.model;
-    });
-    return;
-  }
-  for (LoadedModel& loaded : inventory.models) {
-    if (loaded.model == copy.model) {
-      std::erase(loaded.adapters, copy.adapter);
-    }
-  }
-}
-
-void AddAdapter(Inventory& inventory, const CopyRef& copy) {
-  for (LoadedModel& loaded : inventory.models) {
-    if (loaded.model == copy.model &&
-        std::ranges::find(loaded.adapters, copy.adapter) ==
-            loaded.adapters.end()) {
-      loaded.adapters.push_back(copy.adapter);
-    }
-  }
-}
-
 }  // namespace
 
 std::string_view ToString(OrderAnswer answer) {
@@ -268,7 +244,7 @@
   if (loads) {
     AddAdapter(inventory, order.copy);
   } else {
-    Remove(inventory, order.copy);
+    RemoveCopy(inventory, order.copy);
   }
   this->Publish(order.target, inventory);
   return OrderEnd::kDone;
@@ -363,7 +339,7 @@
 
 void OrderDuty::Withdraw(const PlannedOrder& order) {
   Inventory inventory = this->known[order.target].inventory;
-  Remove(inventory, order.copy);
+  RemoveCopy(inventory, order.copy);
   this->Tell(order.target, inventory);
 }
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -17,7 +17,7 @@
 // Less time than this gives no answer.
 constexpr std::chrono::milliseconds kShortestRun{20};
 // A waiting request looks again this often, although changes wake it.
-constexpr std::chrono::milliseconds kCopyPoll{100};
+constexpr std::chrono::milliseconds kChangePoll{100};
 // An adapter is loaded within milliseconds of the order; more than this means
 // that nobody gives orders.
 constexpr std::chrono::milliseconds kAdapterPatience{1500};
@@ -202,8 +202,9 @@
     if (auto* chosen = std::get_if<ChosenTarget>(&choice)) {
       return std::move(*chosen);
     }
+    this->unplaced = choice;
     if (std::holds_alternative<AllOverloaded>(choice)) {
-      if (!this->AwaitCapacity()) {
+      if (!this->AwaitChange(kCapacityPatience)) {
         return std::nullopt;
       }
       continue;
@@ -221,30 +222,31 @@
   return std::min(limit, (this->deadline - this->received) / kPatienceDivisor);
 }
 
-// Waits for the next change of what the targets hold; false if the request
-// should not wait any longer.
+// Tells that the request waits for the copy, and waits for the next change;
+// false if it should not wait any longer.
 bool Relay::AwaitCopy(bool model_loaded) {
-  const TimePoint until = this->received + this->Patience(model_loaded);
-  const Duration left = until - this->parts.clock.Now();
-  if (left <= Duration(0) || this->sends >= kMaxSends) {
+  const Duration patience = this->Patience(model_loaded);
+  if (this->sends >= kMaxSends ||
+      this->parts.clock.Now() >= this->received + patience) {
     return false;
   }
   const CopyRef copy =
       model_loaded ? this->meta.copy : CopyRef{this->meta.copy.model, {}};
   this->parts.interest.BeginWaiting({this->service, copy});
-  (void)this->parts.board_changed.WaitFor(std::min<Duration>(left, kCopyPoll));
+  const bool waited = this->AwaitChange(patience);
   this->parts.interest.EndWaiting({this->service, copy});
-  return true;
+  return waited;
 }
 
-// Waits a little for streams to end; false if the request should not wait.
-bool Relay::AwaitCapacity() {
-  const TimePoint until = this->received + kCapacityPatience;
-  const Duration left = until - this->parts.clock.Now();
+// Waits for a change of what is known of the targets; false if the request has
+// waited for `patience` since it came.
+bool Relay::AwaitChange(Duration patience) {
+  const Duration left = this->received + patience - this->parts.clock.Now();
   if (left <= Duration(0)) {
     return false;
   }
-  (void)this->parts.board_changed.WaitFor(std::min<Duration>(left, kCopyPoll));
+  (void)this->parts.board_changed.WaitFor(
+      std::min<Duration>(left, kChangePoll));
   return true;
 }
 
@@ -303,18 +305,17 @@
 }
 
 Relay::End Relay::Try(Attempt& attempt) {
-  if (!this->Connect(attempt)) {
-    attempt.reason = Reason::kTargetUnreachable;
-    // The board learns from it as from a failed attempt.
-    attempt.id = AttemptId{this->parts.random.Next()};
-    this->parts.board.OnSent(attempt.id, attempt.target, this->Query());
-    return End::kUnsent;
-  }
-  if (this->channel.IsGone()) {
+  const bool connected = this->Connect(attempt);
+  if (connected && this->channel.IsGone()) {
     return End::kCallerGone;
   }
   attempt.id = AttemptId{this->parts.random.Next()};
   this->parts.board.OnSent(attempt.id, attempt.target, this->Query());
+  if (!connected) {
+    // The board learns from it as from a failed attempt.
+    attempt.reason = Reason::kTargetUnreachable;
+    return End::kUnsent;
+  }
   this->parts.metrics.Count(Event::kAttemptStarted);
   if (this->forwarder.HasBegun()) {
     this->parts.metrics.Count(Event::kStreamResumed);
@@ -369,12 +370,7 @@
                {{"request", this->meta.id},
                 {"target", attempt.target.target.value},
                 {"answered", attempt.meta.id}});
-    std::string_view data;
-    BodyPart part = BodyPart::kData;
-    while (part == BodyPart::kData) {
-      part = exchange.ReadBody(data);
-    }
-    if (part == BodyPart::kBroken) {
+    if (!exchange.SkipRest()) {
       return false;
     }
   }
@@ -395,9 +391,6 @@
     } else {
       this->tried.push_back(attempt.target.target);
     }
-    std::string_view ignored;
-    while (attempt.exchange->ReadBody(ignored) == BodyPart::kData) {
-    }
     return End::kNotRun;
   }
   ++this->runs;
@@ -442,34 +435,30 @@
   return End::kUnknown;
 }
 
-void Relay::OnAttemptEnd(Attempt& attempt, End end) {
-  SendEnd sent = SendEnd::kCancelled;
+SendEnd Relay::ForBoard(End end, Reason reason) {
   switch (end) {
     case End::kDelivered:
-      sent = SendEnd::kGood;
-      break;
+      return SendEnd::kGood;
     case End::kFailed:
-      sent = SendEnd::kError;
-      break;
+      return SendEnd::kError;
     case End::kUnsent:
-      sent = SendEnd::kBroken;
-      this->tried.push_back(attempt.target.target);
-      break;
+      return SendEnd::kBroken;
     case End::kUnknown:
-      sent = attempt.reason == Reason::kDeadlineExceeded ? SendEnd::kCancelled
-                                                         : SendEnd::kBroken;
-      this->tried.push_back(attempt.target.target);
-      break;
+      return reason == Reason::kDeadlineExceeded ? SendEnd::kCancelled
+                                                 : SendEnd::kBroken;
     case End::kNotRun:
-      sent = SendEnd::kRefused;
-      break;
+      return SendEnd::kRefused;
     case End::kCallerGone:
       break;
   }
-  if (end == End::kFailed) {
+  return SendEnd::kCancelled;
+}
+
+void Relay::OnAttemptEnd(Attempt& attempt, End end) {
+  if (end == End::kUnsent || end == End::kUnknown || end == End::kFailed) {
     this->tried.push_back(attempt.target.target);
   }
-  this->parts.board.OnEnd(attempt.id, sent);
+  this->parts.board.OnEnd(attempt.id, ForBoard(end, attempt.reason));
   if (end != End::kDelivered) {
     LogInfo("attempt_failed",
             {{"request", this->meta.id},
@@ -540,15 +529,14 @@
   if (query.copy.model.IsEmpty()) {
     return this->Refuse(kUnavailable, Reason::kNoTarget, kRetryAfterStart);
   }
-  const BoardChoice choice = this->parts.board.Choose(query);
-  if (const auto* overloaded = std::get_if<AllOverloaded>(&choice)) {
+  if (const auto* overloaded = std::get_if<AllOverloaded>(&this->unplaced)) {
     LogInfo("targets_overloaded", {{"request", this->meta.id},
                                    {"events", query.events},
                                    {"shortest_ms", overloaded->shortest},
                                    {"left_ms", query.left}});
     return this->Refuse(kUnavailable, Reason::kOverloaded, kRetryAfterOverload);
   }
-  const auto* missing = std::get_if<NeedsCopy>(&choice);
+  const auto* missing = std::get_if<NeedsCopy>(&this->unplaced);
   const bool only_adapter = missing != nullptr && missing->model_loaded;
   return this->Refuse(kUnavailable, Reason::kModelLoading,
                       only_adapter ? kRetryAfterAdapter : kRetryAfterLoad);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -79,8 +79,8 @@
   /// Returns the next target, after waiting for a missing copy; nothing if the
   /// request was answered instead.
   [[nodiscard]] std::optional<ChosenTarget> Choose();
-  [[nodiscard]] bool AwaitCapacity();
   [[nodiscard]] bool AwaitCopy(bool model_loaded);
+  [[nodiscard]] bool AwaitChange(Duration patience);
   [[nodiscard]] Duration Patience(bool model_loaded) const;
   [[nodiscard]] End Try(Attempt& attempt);
   [[nodiscard]] bool Connect(Attempt& attempt);
@@ -92,6 +92,8 @@
   [[nodiscard]] Duration EventSilence() const;
   [[nodiscard]] std::string HeadFor(const Attempt& attempt) const;
   [[nodiscard]] Duration FirstByteLimit(const ChosenTarget& target) const;
+  /// Returns how the board counts the end of an attempt.
+  [[nodiscard]] static SendEnd ForBoard(End end, Reason reason);
   void OnAttemptEnd(Attempt& attempt, End end);
   /// Returns whether the request may be sent once more.
   [[nodiscard]] bool MayRepeat(End end, Reason reason);
@@ -118,6 +120,8 @@
   std::shared_ptr<const std::string> body;
   AnswerForwarder forwarder;
   std::vector<TargetId> tried;
+  /// Why the last choice gave no target.
+  BoardChoice unplaced = NoUsableTarget{};
   std::uint32_t sends = 0;
   /// The target of the last send.
   TargetId last_target;
--- /dev/null
+++ b/src/gateway/sockets.cc
@@ -0,0 +1,29 @@
+#include "gateway/sockets.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace pimentospar {
+
+void SetUpSocket(TcpSocket& socket, std::chrono::milliseconds user_timeout) {
+  error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  const int timeout_ms = static_cast<int>(user_timeout.count());
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+             sizeof timeout_ms);
+}
+
+Readable Peek(TcpSocket& socket) {
+  char byte = 0;
+  const ssize_t size =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size > 0) {
+    return Readable::kData;
+  }
+  const bool is_quiet = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return is_quiet ? Readable::kNothing : Readable::kClosed;
+}
+
+}  // namespace pimentospar
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -1,13 +1,11 @@
 #include "gateway/upstream.h"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <charconv>
 
+#include "gateway/sockets.h"
 #include "net/address.h"
 
 namespace pimentospar {
@@ -20,15 +18,7 @@
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 // A peer without power answers nothing; unacknowledged bytes end the connection
 // after this time.
-constexpr int kUserTimeoutMs = 3000;
-
-// Returns false if the peer has closed, or has sent what nobody asked for.
-bool IsQuiet(TcpSocket& socket) {
-  char byte = 0;
-  const ssize_t size =
-      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
+constexpr std::chrono::milliseconds kUserTimeout{3000};
 
 std::optional<std::chrono::seconds> NamedIdleTime(const http::fields& fields) {
   constexpr std::string_view kName = "timeout=";
@@ -61,7 +51,9 @@
     // The most recently used one, so that the others can end.
     auto connection = std::move(connections.back());
     connections.pop_back();
-    if (now < connection->usable_until && IsQuiet(connection->socket)) {
+    // What nobody asked for belongs to no request.
+    if (now < connection->usable_until &&
+        Peek(connection->socket) == Readable::kNothing) {
       return connection;
     }
   }
@@ -87,10 +79,7 @@
   if (!connected.IsGood() || !socket.is_open()) {
     return nullptr;
   }
-  error_code ignored;
-  socket.set_option(Tcp::no_delay(true), ignored);
-  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-             &kUserTimeoutMs, sizeof kUserTimeoutMs);
+  SetUpSocket(socket, kUserTimeout);
   return connection;
 }
 
@@ -218,6 +207,26 @@
   return BodyPart::kEnd;
 }
 
+std::optional<std::string> Exchange::ReadRest() {
+  std::string rest;
+  std::string_view data;
+  BodyPart part = this->ReadBody(data);
+  while (part == BodyPart::kData) {
+    rest += data;
+    part = this->ReadBody(data);
+  }
+  return part == BodyPart::kEnd ? std::optional(std::move(rest)) : std::nullopt;
+}
+
+bool Exchange::SkipRest() {
+  std::string_view ignored;
+  BodyPart part = this->ReadBody(ignored);
+  while (part == BodyPart::kData) {
+    part = this->ReadBody(ignored);
+  }
+  return part == BodyPart::kEnd;
+}
+
 void Exchange::Cancel() {
   this->state->cancelled = true;
   if (this->state->connection != nullptr) {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -92,6 +92,10 @@
   [[nodiscard]] const Head& GetHead() const;
   /// Reads a part of the body; `data` stays valid until the next call.
   [[nodiscard]] BodyPart ReadBody(std::string_view& data);
+  /// Reads to the end of the body; nothing if it ends early.
+  [[nodiscard]] std::optional<std::string> ReadRest();
+  /// Reads past the end of the body; false if it ends early.
+  [[nodiscard]] bool SkipRest();
   /// Ends waiting operations; they fail.
   void Cancel();
   /// Gives the connection back if another request may follow on it.
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -21,12 +21,6 @@
 constexpr double kNoRequests = 0.05;
 constexpr std::chrono::seconds kInterestRetention{60};
 
-const LoadedModel* FindModel(std::span<const LoadedModel> models,
-                             const ModelId& model) {
-  const auto found = std::ranges::find(models, model, &LoadedModel::model);
-  return found == models.end() ? nullptr : &*found;
-}
-
 std::size_t AdapterCount(std::span<const LoadedModel> models) {
   std::size_t count = 0;
   for (const LoadedModel& loaded : models) {
@@ -328,14 +322,12 @@
     const ModelSpec& model) {
   std::optional<Room> best;
   const TimePoint now = this->clock.Now();
+  // A copy at hand saves most of the load's time and its price.
+  const auto cost_of = [this](const Room& room) {
+    return room.loss - (room.at_hand ? this->options.at_hand_gain : 0);
+  };
   const auto consider = [&](const Room& room) {
-    // A copy at hand saves most of the load's time and its price.
-    const double value =
-        room.loss - (room.at_hand ? this->options.at_hand_gain : 0);
-    const double best_value =
-        best ? best->loss - (best->at_hand ? this->options.at_hand_gain : 0)
-             : 0;
-    if (!best || value < best_value) {
+    if (!best || cost_of(room) < cost_of(*best)) {
       best = room;
     }
   };
--- a/src/routing/target_board.cc
+++ b/src/routing/target_board.cc
@@ -25,23 +25,6 @@
 
 }  // namespace
 
-bool Holds(const Inventory& inventory, const CopyRef& copy) {
-  const auto found =
-      std::ranges::find(inventory.models, copy.model, &LoadedModel::model);
-  if (found == inventory.models.end()) {
-    return false;
-  }
-  return copy.adapter.IsEmpty() ||
-         std::ranges::find(found->adapters, copy.adapter) !=
-             found->adapters.end();
-}
-
-ModelId PrefixScope(const CopyRef& copy) {
-  return copy.adapter.IsEmpty()
-             ? copy.model
-             : ModelId(copy.model.value + "/" + copy.adapter.value);
-}
-
 TargetBoard::TargetBoard(const Clock& clock,
                          RandomSource& random,
                          TargetBoardOptions options)
@@ -117,21 +100,12 @@
   if (found == this->targets.end()) {
     return;
   }
-  auto& models = found->second.description.inventory.models;
-  if (copy.adapter.IsEmpty()) {
-    std::erase_if(models, [&](const LoadedModel& loaded) {
-      return loaded.model == copy.model;
-    });
-    return;
-  }
-  for (LoadedModel& loaded : models) {
-    if (loaded.model != copy.model) {
-      continue;
-    }
-    if (std::erase(loaded.adapters, copy.adapter) == 0) {
-      // The adapter was known to be missing, so the model is.
-      loaded.adapters.clear();
-    }
+  Inventory& inventory = found->second.description.inventory;
+  if (copy.adapter.IsEmpty() || Holds(inventory, copy)) {
+    RemoveCopy(inventory, copy);
+  } else {
+    // The adapter was known to be missing, so the model is.
+    RemoveAdapters(inventory, copy.model);
   }
 }
 
