--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -99,6 +99,8 @@
   [[nodiscard]] bool MayRepeat(End end, Reason reason);
   /// Answers the caller after the last attempt.
   bool Finish(End end, Reason reason);
+  bool RefuseNotReady();
+  bool RefuseNotFound();
   /// Refuses a request that no target could take, with the time of a load.
   bool RefuseUnplaced();
   bool Refuse(unsigned status,
--- /dev/null
+++ b/src/gateway/relay_end.cc
@@ -0,0 +1,155 @@
+#include <cstdlib>
+
+#include "gateway/relay.h"
+#include "net/log_line.h"
+
+// What the caller of a request is told in the end, and what is logged of it.
+namespace pimentospar {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetrySoon{250};
+// Without a configuration or targets, the log is away or a start is under way.
+constexpr std::chrono::milliseconds kRetryAfterStart{2000};
+constexpr std::chrono::milliseconds kRetryAfterAdapter{500};
+constexpr std::chrono::milliseconds kRetryAfterLoad{2000};
+constexpr std::chrono::milliseconds kRetryAfterOverload{1000};
+// A pause between events that callers notice.
+constexpr std::chrono::milliseconds kLongPause{600};
+// One answer in time in so many is logged; late ones and failures all are.
+constexpr std::uint64_t kSuccessSample = 16;
+
+constexpr long long kMillisecondsPerSecond = 1000;
+
+constexpr unsigned kNotFoundStatus = 404;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+}  // namespace
+
+bool Relay::RefuseNotReady() {
+  return this->Refuse(kUnavailable, Reason::kNotReady, kRetryAfterStart);
+}
+
+bool Relay::RefuseNotFound() {
+  return this->Refuse(kNotFoundStatus, Reason::kNotFound, std::nullopt);
+}
+
+bool Relay::RefuseDraining() {
+  return this->Refuse(kUnavailable, Reason::kDraining, kRetrySoon);
+}
+
+bool Relay::Finish(End end, Reason reason) {
+  if (this->channel.IsGone() || end == End::kCallerGone) {
+    this->parts.metrics.CountRefusal(Reason::kCallerGone);
+    this->LogEnd("caller_gone", 0, Reason::kCallerGone);
+    return false;
+  }
+  if (this->forwarder.HasBegun()) {
+    // An answer that ends early must not look complete.
+    this->parts.metrics.CountRefusal(reason);
+    this->LogEnd("cut_off", 0, reason);
+    return false;
+  }
+  const auto failed = this->forwarder.FailedStatus();
+  if (failed && end != End::kUnknown) {
+    this->LogEnd("failed_by_target", *failed, reason);
+    return this->forwarder.SendFailed();
+  }
+  if (this->runs > 0) {
+    const bool late = reason == Reason::kDeadlineExceeded;
+    return this->Refuse(late ? kGatewayTimeout : kBadGateway, reason,
+                        std::nullopt);
+  }
+  if (end == End::kUnsent && this->tried.empty() &&
+      reason == Reason::kNoTarget) {
+    return this->RefuseUnplaced();
+  }
+  return this->Refuse(kUnavailable, reason, kRetrySoon);
+}
+
+bool Relay::RefuseUnplaced() {
+  const TargetQuery query = this->Query();
+  if (query.copy.model.IsEmpty()) {
+    return this->Refuse(kUnavailable, Reason::kNoTarget, kRetryAfterStart);
+  }
+  if (const auto* overloaded = std::get_if<AllOverloaded>(&this->unplaced)) {
+    LogInfo("targets_overloaded", {{"request", this->meta.id},
+                                   {"events", query.events},
+                                   {"shortest_ms", overloaded->shortest},
+                                   {"left_ms", query.left}});
+    return this->Refuse(kUnavailable, Reason::kOverloaded, kRetryAfterOverload);
+  }
+  const auto* missing = std::get_if<NeedsCopy>(&this->unplaced);
+  const bool only_adapter = missing != nullptr && missing->model_loaded;
+  return this->Refuse(kUnavailable, Reason::kModelLoading,
+                      only_adapter ? kRetryAfterAdapter : kRetryAfterLoad);
+}
+
+bool Relay::Refuse(unsigned status,
+                   Reason reason,
+                   std::optional<Duration> retry_after) {
+  this->parts.metrics.CountRefusal(reason);
+  std::string head = StatusLine(status);
+  if (!this->meta.id.empty()) {
+    head += std::string(this->parts.protocol.RequestIdName()) + ": " +
+            this->meta.id + "\r\n";
+  }
+  if (retry_after) {
+    const auto [seconds, milliseconds] = std::lldiv(
+        std::chrono::duration_cast<std::chrono::milliseconds>(*retry_after)
+            .count(),
+        kMillisecondsPerSecond);
+    std::string digits = std::to_string(milliseconds);
+    digits.insert(0, 3 - digits.size(), '0');
+    head += "Retry-After: " + std::to_string(seconds) + "." + digits + "\r\n";
+  }
+  if (this->request.close_after) {
+    head += "Connection: close\r\n";
+  }
+  const std::string text =
+      "{\"reason\":\"" + std::string(CodeOf(reason)) + "\"}";
+  head += "Content-Type: application/problem+json\r\nContent-Length: " +
+          std::to_string(text.size()) + "\r\n\r\n";
+  this->LogEnd("refused", status, reason);
+  return this->channel.SendWhole(head, text);
+}
+
+void Relay::LogEnd(std::string_view outcome, unsigned status, Reason reason) {
+  const Duration took = this->parts.clock.Now() - this->received;
+  const Duration pause = this->forwarder.LongestPause();
+  std::optional<Duration> first_event;
+  if (const auto at = this->forwarder.FirstEventAt()) {
+    first_event = *at - this->received;
+    this->parts.metrics.RecordFirstTokenTime(*first_event);
+  }
+  this->parts.metrics.RecordRequestTime(took);
+  if (reason == Reason::kNone) {
+    this->parts.metrics.Count(Event::kRequestCompleted);
+    const bool late =
+        pause > kLongPause || (this->route != nullptr &&
+                               first_event.value_or(took) > this->route->goal);
+    if (!late && this->parts.random.Below(kSuccessSample) != 0) {
+      return;
+    }
+  }
+  LogInfo("request_ended",
+          {{"request", this->meta.id},
+           {"outcome", outcome},
+           {"status", status},
+           {"reason", CodeOf(reason)},
+           {"route", this->route == nullptr ? "" : this->route->name},
+           {"service", this->service.value},
+           {"model", PrefixScope(this->meta.copy).value},
+           {"target", this->last_target.value},
+           {"sends", this->sends},
+           {"runs", this->runs},
+           {"ms", took},
+           {"pause_ms", pause},
+           {"first_ms", first_event.value_or(std::chrono::milliseconds(-1))},
+           {"config",
+            this->table == nullptr ? 0 : this->table->Config().version.value}});
+}
+
+}  // namespace pimentospar
