Let strong hosts lead and bound the log calls of a starting fleet

Change: entries register their processor capacity, and weaker candidates wait before they apply; a fleet that starts for the first time reads the entries once more before anyone applies. Candidates read at most every 250 ms. Only the holder polls the entries often; it sends their number, by which the others share the retry budget. Reads that only guard against a lost message are spread by the number of entries. MemoryLog ended a waiting read on a record of any stream; it now waits for its own.

--- a/include/pimentospar/store_share.h
+++ b/include/pimentospar/store_share.h
@@ -108,6 +108,9 @@
   /// Makes the holder replace its own lease. This voids every record under the
   /// old lease that is not yet on the log.
   void RequestNewLease() { this->replacement_requested = true; }
+  /// Makes this candidate wait for `delay` before the random time up to
+  /// `acquire_spread`, so that candidates with a shorter one go first.
+  void SetAcquireDelay(Duration delay) { this->acquire_delay = delay; }
 
   /// Returns the next append, if one is due. Call it about once a second.
   [[nodiscard]] std::optional<LeaseAction> Step();
@@ -155,6 +158,7 @@
   /// another process holds the lease.
   std::optional<TimePoint> held_until;
   std::optional<TimePoint> acquire_at;
+  Duration acquire_delay{0};
   TimePoint last_sent{};
   std::vector<Pending> pending;
   bool replacement_requested = false;
--- a/schema/gateway.capnp
+++ b/schema/gateway.capnp
@@ -22,6 +22,8 @@
   # Time since the sender last read the registrations.
   registrationAgeMs @10 :UInt32;
   loads @11 :List(EntryLoad);
+  # Entries that the holder of the lease knows, with itself; 0 from others.
+  entryCount @12 :UInt32;
 }
 
 struct EntryRegistration {
--- a/schema/gateway.capnp.h
+++ b/schema/gateway.capnp.h
@@ -184,6 +184,8 @@
   inline bool hasLoads() const;
   inline  ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
+  inline  ::uint32_t getEntryCount() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -272,6 +274,9 @@
   inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
+  inline  ::uint32_t getEntryCount();
+  inline void setEntryCount( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1156,6 +1161,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t EntryMessage::Reader::getEntryCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryMessage::Builder::getEntryCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void EntryMessage::Builder::setEntryCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryRegistration::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -64,6 +64,7 @@
 void WriteFeed(wire::EntryMessage::Builder to, const EntryMessage& from) {
   to.setRegistrationCount(from.registration_count);
   to.setRegistrationAgeMs(ToWireMilliseconds(from.registration_age));
+  to.setEntryCount(static_cast<std::uint32_t>(from.entry_count));
   auto registrations =
       to.initRegistrations(static_cast<unsigned>(from.registrations.size()));
   unsigned index = 0;
@@ -85,6 +86,7 @@
 void ReadFeed(wire::EntryMessage::Reader from, EntryMessage& to) {
   to.registration_count = from.getRegistrationCount();
   to.registration_age = milliseconds(from.getRegistrationAgeMs());
+  to.entry_count = from.getEntryCount();
   for (const auto row : from.getRegistrations()) {
     to.registrations.push_back(
         {TargetId(ToStdString(row.getTarget())), ToStdString(row.getValue())});
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -49,6 +49,9 @@
   /// Time since the sender last read the registrations.
   Duration registration_age{0};
   std::vector<TargetLoadReport> loads;
+  /// Number of entries that the lease holder knows, including itself; 0 in the
+  /// messages of other entries.
+  std::size_t entry_count = 0;
 };
 
 /// Returns the bytes of the datagram that carries the message.
--- a/src/gateway/entry_transport.cc
+++ b/src/gateway/entry_transport.cc
@@ -1,6 +1,6 @@
 #include "gateway/entry_transport.h"
 
-#include <array>
+#include <algorithm>
 
 #include "net/log_line.h"
 
@@ -64,15 +64,37 @@
     peer.received_at = this->clock.Now();
     peer.lease = message->lease;
   }
+  if (message->entry_count > 0) {
+    this->announced_count = message->entry_count;
+    this->announced_at = this->clock.Now();
+  }
   this->handler(*message);
 }
 
-void EntryTransport::OnEntry(const HostId& host, const Address& address) {
+void EntryTransport::OnEntry(const HostId& host,
+                             const EntryRegistration& registration) {
   if (host == this->self) {
     return;
   }
-  const Tcp::endpoint endpoint = address.ToEndpoint();
-  this->peers[host].address = {endpoint.address(), endpoint.port()};
+  const Tcp::endpoint endpoint = registration.address.ToEndpoint();
+  PeerEntry& peer = this->peers[host];
+  peer.address = {endpoint.address(), endpoint.port()};
+  peer.processor_cores = registration.processor_cores;
+}
+
+std::size_t EntryTransport::EntryCount() const {
+  const bool is_announced =
+      this->announced_at &&
+      this->clock.Now() - *this->announced_at < kHolderTimeout;
+  return is_announced ? this->announced_count : this->peers.size() + 1;
+}
+
+double EntryTransport::StrongestPeerCores() const {
+  double strongest = 0;
+  for (const auto& [host, peer] : this->peers) {
+    strongest = std::max(strongest, peer.processor_cores);
+  }
+  return strongest;
 }
 
 Address EntryTransport::LocalAddress() const {
--- a/src/gateway/entry_transport.h
+++ b/src/gateway/entry_transport.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "gateway/entry_message.h"
+#include "gateway/entry_registration.h"
 #include "gateway/fiber_loop.h"
-#include "net/address.h"
 #include "pimentospar/clock.h"
 
 namespace pimentospar {
@@ -18,6 +18,7 @@
 /// The address of another entry and the header of its newest message.
 struct PeerEntry {
   UdpEndpoint address;
+  double processor_cores = 0;
   InstanceId instance;
   std::uint64_t sequence = 0;
   std::optional<TimePoint> received_at;
@@ -38,7 +39,7 @@
 
   void Start();
   /// Adds an entry, or changes its address.
-  void OnEntry(const HostId& host, const Address& address);
+  void OnEntry(const HostId& host, const EntryRegistration& registration);
   void OnEntryRemoved(const HostId& host) { this->peers.erase(host); }
 
   /// Sends a message to one entry, with the sender's fields filled in.
@@ -49,10 +50,17 @@
   /// Returns the entry that announced the newest lease, among those that sent a
   /// message recently; nothing if none of them announced one.
   [[nodiscard]] std::optional<HostId> Holder() const;
-  /// Returns the number of registered entries, including this one.
-  [[nodiscard]] std::size_t EntryCount() const {
-    return this->peers.size() + 1;
+  /// Returns whether the entry is known, so that messages can be sent to it.
+  [[nodiscard]] bool IsKnown(const HostId& host) const {
+    return this->peers.contains(host);
   }
+  /// Returns the number of registered entries, including this one: the lease
+  /// holder's count if it announced one recently, else the known ones.
+  [[nodiscard]] std::size_t EntryCount() const;
+  /// Returns the number of other entries that this one knows.
+  [[nodiscard]] std::size_t PeerCount() const { return this->peers.size(); }
+  /// Returns the largest processor capacity of the other entries in cores.
+  [[nodiscard]] double StrongestPeerCores() const;
   [[nodiscard]] Address LocalAddress() const;
 
  private:
@@ -69,6 +77,8 @@
   Handler handler;
   std::uint64_t sequence = 0;
   std::map<HostId, PeerEntry> peers;
+  std::size_t announced_count = 0;
+  std::optional<TimePoint> announced_at;
 };
 
 }  // namespace pimentospar
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "net/address.h"
 #include "net/log_line.h"
+#include "pimentospar/planning/fleet_timing.h"
 
 namespace pimentospar {
 
@@ -20,9 +21,12 @@
 // return at once.
 constexpr std::chrono::milliseconds kTargetPollInterval{900};
 constexpr std::chrono::milliseconds kConfigReadWait{2000};
-constexpr std::chrono::milliseconds kEntryReadWait{8000};
-// Interval between reads while the lease holder sends the changes it reads.
-constexpr std::chrono::milliseconds kFeedPollInterval{4000};
+// The lease holder must know the other entries to send them what it reads. They
+// only need to know it, and the number of entries, which it sends.
+constexpr std::chrono::milliseconds kHolderEntryPollInterval{1000};
+constexpr std::chrono::milliseconds kEntryPollInterval{30000};
+// Hosts that are switched on together register within this time.
+constexpr std::chrono::milliseconds kFleetStartTime{1000};
 // The load balancer removes a host after two failed checks a second apart.
 constexpr std::chrono::milliseconds kBalancerRemovalTime{2300};
 // A request that arrives later than this after the stop signal might not end
@@ -83,7 +87,7 @@
                      {std::string(platform.registry.ConfigStream()),
                       [this] {
                         return this->HasFreshFeed()
-                                   ? PollTiming{{}, kFeedPollInterval}
+                                   ? this->SafetyPollTiming()
                                    : PollTiming{kConfigReadWait, {}};
                       }},
                      {[this](const auto& all) {
@@ -100,9 +104,8 @@
           platform.log,
           {std::string(platform.registry.TargetStream()),
            [this] {
-             return PollTiming{{},
-                               this->HasFreshFeed() ? kFeedPollInterval
-                                                    : kTargetPollInterval};
+             return this->HasFreshFeed() ? this->SafetyPollTiming()
+                                         : PollTiming{{}, kTargetPollInterval};
            }},
           {[this](const auto& all) { this->OnTargets(all); },
            [this](const KeyedItem& item) { this->OnTarget(item); },
@@ -112,9 +115,7 @@
                     random,
                     platform.log,
                     {std::string(platform.registry.EntryStream()),
-                     [] {
-                       return PollTiming{kEntryReadWait, {}};
-                     }},
+                     [this] { return this->EntryPollTiming(); }},
                     {[this](const auto& all) { this->OnEntries(all); },
                      [this](const KeyedItem& item) { this->OnEntry(item); },
                      {}}),
@@ -183,7 +184,6 @@
   this->target_watcher.Start();
   this->entry_watcher.Start();
   this->entry_transport.Start();
-  this->lease.Start();
   this->order_dispatcher.Start();
   this->readiness_server.Start();
   this->operator_server.Start();
@@ -341,35 +341,66 @@
 void Gateway::OnEntries(const std::vector<KeyedItem>& all) {
   bool listed = false;
   for (const KeyedItem& item : all) {
-    listed = listed ||
-             (item.key == this->settings.host.value &&
-              item.value == ToString(this->entry_transport.LocalAddress()));
+    listed = listed || (item.key == this->settings.host.value &&
+                        item.value == this->OwnRegistration());
     this->OnEntry(item);
   }
   if (!listed && !this->draining) {
     this->loop.Spawn([this] { this->Register(); });
   }
+  if (!std::exchange(this->lease_started, true)) {
+    this->loop.Spawn([this, listed] { this->StartLease(listed); });
+  }
+}
+
+// If this host was not registered before, the whole fleet may be starting. The
+// other entries are then read again, so that a weak host that starts first does
+// not acquire the lease.
+void Gateway::StartLease(bool is_registered) {
+  if (!is_registered) {
+    boost::this_fiber::sleep_for(kFleetStartTime);
+    this->entry_watcher.PollNow();
+    boost::this_fiber::sleep_for(kFleetStartTime / 2);
+  }
+  this->lease.Start();
+}
+
+PollTiming Gateway::EntryPollTiming() const {
+  return {{},
+          this->lease.Held() ? kHolderEntryPollInterval : kEntryPollInterval};
+}
+
+PollTiming Gateway::SafetyPollTiming() const {
+  return {{}, SafetyPollInterval(this->entry_transport.EntryCount())};
+}
+
+std::string Gateway::OwnRegistration() const {
+  return Encode(EntryRegistration{this->entry_transport.LocalAddress(),
+                                  this->settings.processor_cores});
 }
 
 void Gateway::OnEntry(const KeyedItem& item) {
   const HostId host(item.key);
-  const auto address =
-      item.value ? ParseAddress(*item.value) : std::optional<Address>();
-  if (address) {
-    this->entry_transport.OnEntry(host, *address);
+  const auto registration = item.value ? DecodeEntryRegistration(*item.value)
+                                       : std::optional<EntryRegistration>();
+  if (registration) {
+    this->entry_transport.OnEntry(host, *registration);
   } else {
     this->entry_transport.OnEntryRemoved(host);
   }
+  this->lease.SetAcquireDelay(
+      LeaseAcquireDelay(this->settings.processor_cores,
+                        this->entry_transport.StrongestPeerCores()));
 }
 
 void Gateway::Register() {
   constexpr std::chrono::milliseconds kPause{500};
-  const std::string address = ToString(this->entry_transport.LocalAddress());
+  const std::string registration = this->OwnRegistration();
   while (!this->draining &&
          this->platform.log.AppendKeyed(this->platform.registry.EntryStream(),
                                         this->settings.host.value,
-                                        address) != LogStatus::kDone) {
-    LogWarning("register_failed", {{"address", address}});
+                                        registration) != LogStatus::kDone) {
+    LogWarning("register_failed", {{"registration", registration}});
     boost::this_fiber::sleep_for(kPause);
   }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,6 +29,8 @@
   Tcp::endpoint ready_address;
   Tcp::endpoint operator_address;
   UdpEndpoint entry_address;
+  /// Processor capacity of the host in cores.
+  double processor_cores = 1;
   SharedRetryBudgetOptions retries;
   /// Targets refuse an order under a lease older than the newest they have
   /// seen.
@@ -71,6 +73,10 @@
   void Drain();
 
   [[nodiscard]] bool IsReady() const;
+  /// Returns whether this entry may send orders to targets.
+  [[nodiscard]] bool HoldsLease() const {
+    return this->lease.Held().has_value();
+  }
   [[nodiscard]] Tcp::endpoint CallerAddress() const {
     return this->caller_server.LocalAddress();
   }
@@ -93,6 +99,12 @@
   void OnTargetRemoved(const TargetId& target);
   void OnEntries(const std::vector<KeyedItem>& all);
   void OnEntry(const KeyedItem& item);
+  [[nodiscard]] PollTiming EntryPollTiming() const;
+  /// How often to read what the lease holder also sends.
+  [[nodiscard]] PollTiming SafetyPollTiming() const;
+  /// Starts to compete for the lease once the other entries are known.
+  void StartLease(bool is_registered);
+  [[nodiscard]] std::string OwnRegistration() const;
   void Register();
   void Unregister();
 
@@ -109,6 +121,7 @@
   /// reads, so that this entry may poll the log less often.
   [[nodiscard]] bool HasFreshFeed() const;
   void OnMessage(const EntryMessage& message);
+  void PollEntriesForHolder();
   void SendInventoriesWithCopy(const HostId& host, const ServiceCopy& copy);
 
   FiberLoop& loop;
@@ -134,6 +147,7 @@
   CallerServer caller_server;
   CallerServer readiness_server;
   CallerServer operator_server;
+  bool lease_started = false;
   bool draining = false;
   TimePoint drain_started{};
   std::optional<TimePoint> targets_recovered_at;
--- a/src/gateway/gateway_messages.cc
+++ b/src/gateway/gateway_messages.cc
@@ -9,6 +9,7 @@
 
 constexpr std::size_t kLoadsPerMessage = 40;
 constexpr std::chrono::milliseconds kHeartbeatInterval{500};
+constexpr std::chrono::milliseconds kUnknownHolderPollInterval{4000};
 // Demand and wanted copies are reported this often, and at once when a request
 // starts to wait for a copy.
 constexpr std::chrono::milliseconds kDemandReportInterval{150};
@@ -53,7 +54,8 @@
 HolderState Gateway::GetHolderState() const {
   return {this->lease.Held(), this->target_watcher.TimeSinceLastRead(),
           this->routes == nullptr ? ConfigVersion{}
-                                  : this->routes->Config().version};
+                                  : this->routes->Config().version,
+          this->entry_transport.PeerCount() + 1};
 }
 
 void Gateway::BroadcastInventories(std::vector<TargetInventory> inventories) {
@@ -115,6 +117,9 @@
     this->targets_changed.NotifyAll();
   }
   if (message.lease) {
+    if (!this->entry_transport.IsKnown(message.host)) {
+      this->PollEntriesForHolder();
+    }
     this->lease.OnAnnouncedLease(*message.lease);
     if (!this->lease.Held()) {
       this->ApplyFeed(message);
@@ -132,6 +137,15 @@
   }
 }
 
+// The lease holder may have registered since this entry last read the entries.
+// A holder that is shutting down is no longer registered, so the poll is not
+// repeated with each of its messages.
+void Gateway::PollEntriesForHolder() {
+  if (this->entry_watcher.TimeSinceLastRead() > kUnknownHolderPollInterval) {
+    this->entry_watcher.PollNow();
+  }
+}
+
 // Sends an entry the inventories that contain a copy, in case the entry missed
 // the broadcast.
 void Gateway::SendInventoriesWithCopy(const HostId& host,
--- a/src/gateway/lease_manager.cc
+++ b/src/gateway/lease_manager.cc
@@ -18,6 +18,9 @@
 // How often the process checks whether an append is due while it does not read
 // the log.
 constexpr std::chrono::milliseconds kHolderPollInterval{100};
+// A process that does not hold the lease reads at most this often. Otherwise
+// each record of one candidate would end the waiting reads of all others.
+constexpr std::chrono::milliseconds kMinCandidateReadInterval{250};
 
 struct RecordEncoder {
   json::object operator()(const AppendLease& lease) const {
@@ -121,10 +124,17 @@
       boost::this_fiber::sleep_for(
           kRetryDelay + std::chrono::milliseconds(
                             this->random.NextBelow(kRetryDelay.count())));
+    } else if (!this->lease.Held()) {
+      this->PauseAfterRead();
     }
   }
 }
 
+void LeaseManager::PauseAfterRead() const {
+  boost::this_fiber::sleep_for(
+      std::min(kMinCandidateReadInterval, this->MaxReadWait()));
+}
+
 // Returns how long a read may wait: until the next append may be due.
 std::chrono::milliseconds LeaseManager::MaxReadWait() const {
   if (this->acquiring_stopped) {
--- a/src/gateway/lease_manager.h
+++ b/src/gateway/lease_manager.h
@@ -48,6 +48,8 @@
   /// Requests a new lease, since a target has refused an order under the own
   /// one and has seen a newer lease.
   void OnFenced();
+  /// Lets candidates with a shorter delay acquire a free lease first.
+  void SetAcquireDelay(Duration delay) { this->lease.SetAcquireDelay(delay); }
   /// Acquires no further lease. One that is held is still renewed.
   void StopAcquiring() { this->acquiring_stopped = true; }
 
@@ -55,6 +57,7 @@
   void Run();
   [[nodiscard]] bool AppendIfDue();
   [[nodiscard]] std::chrono::milliseconds MaxReadWait() const;
+  void PauseAfterRead() const;
   [[nodiscard]] LogStatus Read(std::chrono::milliseconds read_wait);
   void ApplyRecord(std::string_view record, LogOffset offset);
   void OnHolderRecord(const boost::json::object& record, InstanceId instance);
--- a/src/gateway/registration_feed.cc
+++ b/src/gateway/registration_feed.cc
@@ -25,6 +25,7 @@
   message.registration_count = this->sent_count;
   message.registration_age = state.registration_age;
   message.config = state.config;
+  message.entry_count = state.entry_count;
   return message;
 }
 
--- a/src/gateway/registration_feed.h
+++ b/src/gateway/registration_feed.h
@@ -17,6 +17,8 @@
   Duration registration_age{0};
   /// The newest configuration that the lease holder has read.
   ConfigVersion config;
+  /// Number of entries that the lease holder knows, including itself.
+  std::size_t entry_count = 0;
 };
 
 /// Passes the registration changes that the lease holder reads to the other
--- a/src/store_share.cc
+++ b/src/store_share.cc
@@ -179,8 +179,9 @@
   if (!this->acquire_at) {
     const auto spread = this->options.acquire_spread.count();
     this->acquire_at =
-        now + Duration(static_cast<Duration::rep>(this->random.NextDouble() *
-                                                  static_cast<double>(spread)));
+        now + this->acquire_delay +
+        Duration(static_cast<Duration::rep>(this->random.NextDouble() *
+                                            static_cast<double>(spread)));
   }
   if (now < *this->acquire_at) {
     return std::nullopt;
--- a/test/gateway/lease_manager_test.cc
+++ b/test/gateway/lease_manager_test.cc
@@ -154,6 +154,44 @@
   BOOST_TEST((fixture.clock.Now() - start < milliseconds(1500)));
 }
 
+// Each record of one candidate ended the waiting reads of all others, so that
+// the reads of a fleet grew with the square of its size.
+BOOST_AUTO_TEST_CASE(ReadsManyRecordsOfOthersInFewReads) {
+  Fixture& fixture = Fixture::Create();
+  (void)fixture.log.Append(
+      "plan",
+      R"({"type":"lease","id":"x","instance":9,"duration_ms":3600000,"address":"h1"})");
+  LeaseManagerOptions options = Options(true);
+  options.read_wait = milliseconds(3000);
+  (void)fixture.Start(1, "h2", options);
+  BOOST_TEST(Eventually([&] { return fixture.log.calls > 1; }));
+  const std::size_t calls = fixture.log.calls;
+  const TimePoint start = fixture.clock.Now();
+  constexpr std::size_t kRecords = 100;
+  for (std::size_t i = 0; i < kRecords; ++i) {
+    (void)fixture.log.Append("plan",
+                             R"({"type":"renew","id":"other","lease":0})");
+    boost::this_fiber::sleep_for(milliseconds(3));
+  }
+  const std::size_t reads = fixture.log.calls - calls - kRecords;
+  const auto elapsed = fixture.clock.Now() - start;
+  BOOST_TEST(reads <=
+             2 + static_cast<std::size_t>(elapsed / milliseconds(250)));
+}
+
+// A weak host is the first to see that the lease is free, but lets a stronger
+// one acquire it.
+BOOST_AUTO_TEST_CASE(StrongerCandidateAcquiresAFreeLease) {
+  Fixture& fixture = Fixture::Create();
+  LeaseManager& weak = fixture.Start(1, "h1");
+  weak.SetAcquireDelay(milliseconds(600));
+  boost::this_fiber::sleep_for(milliseconds(50));
+  const LeaseManager& strong = fixture.Start(2, "h2");
+  BOOST_TEST(Eventually([&] { return fixture.HolderCount() > 0; }));
+  BOOST_TEST(strong.Held().has_value());
+  BOOST_TEST(!weak.Held().has_value());
+}
+
 // The log was unavailable for longer than the lease lasts, and no other process
 // acquired the lease. A renewal whose append answer was lost is read only after
 // the outage and must not delay the new lease.
--- a/test/gateway/platform_test.cc
+++ b/test/gateway/platform_test.cc
@@ -264,11 +264,13 @@
       "operator = \"127.0.0.1:3\"\nentry = \"127.0.0.1:4\"\n"
       "store = \"127.0.0.1:5\"\n[bounds]\nretry_ratio = 0.2\n"
       "retry_slack = 58\nretry_window_s = 10\ntargets_check_leases = true\n"
-      "grace_s = 8\nlease_ms = 3000\n[regions]\nd = \"r\"\n";
+      "grace_s = 8\nlease_ms = 3000\n[capacity]\nprocessor_share = 0.5\n"
+      "processor_speed = 2\n[regions]\nd = \"r\"\n";
   const auto settings = ValueOrNothing(ParseSettings(valid, "good"));
   BOOST_REQUIRE(settings);
   BOOST_TEST(settings->gateway.grace_time.count() == 8000);
   BOOST_TEST(settings->gateway.targets_check_leases);
+  BOOST_TEST(settings->gateway.processor_cores == 1.0);
   std::vector<std::string> errors;
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
@@ -281,6 +283,9 @@
              1);
   BOOST_TEST(std::ranges::count(errors, "region: must be a non-empty string") ==
              1);
+  BOOST_TEST(std::ranges::count(errors,
+                                "capacity.processor_share: must be a number of "
+                                "at least 0.001000") == 1);
   BOOST_TEST(!ValueOrNothing(ParseSettings("= nonsense", "bad")));
 }
 
--- a/test/gateway/support.h
+++ b/test/gateway/support.h
@@ -238,9 +238,10 @@
                std::chrono::milliseconds wait) override {
     ++this->calls;
     const std::string name(stream);
-    if (!this->down && wait.count() > 0 &&
-        from.value >= this->streams[name].size()) {
-      (void)this->changed.WaitFor(wait);
+    const auto wait_end = std::chrono::steady_clock::now() + wait;
+    while (!this->down && from.value >= this->streams[name].size() &&
+           std::chrono::steady_clock::now() < wait_end) {
+      (void)this->changed.WaitFor(wait_end - std::chrono::steady_clock::now());
     }
     LogRead read;
     if (this->down) {
