Bound responses without end, and keep control calls off the callers' connections

Cause: found by reading and shown by tests that fail on: a body, an event or interim heads without end were read and kept until a timer ended them (64 MB of 64 MB sent were read); a stream's idle timer began anew with each byte, so one that sends a byte now and then lasted until the deadline; an error without an ID on a reused connection was taken as the response of the next request (a late 503 told a caller 'not run' while its request ran); orders and reports used the callers' connections. Change: bodies that are kept have a limit each and one for all together; discarded ones, events and interim heads have limits too; only complete events restart the idle timer; an error without an ID counts only on a new connection; UpstreamClient has its own connections. Ruled out by a test that already passed: a second copy of a request's own refusal, since a connection is not kept after a refusal; a head without end, which had a limit.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -62,7 +62,6 @@
       received_at(deps.clock.Now()),
       forwarder(deps.clock,
                 deps.timers,
-                deps.pool,
                 request,
                 channel,
                 this->meta.last_event,
@@ -253,7 +252,7 @@
     return false;
   }
   attempt.exchange = std::make_unique<UpstreamExchange>(
-      std::move(connection),
+      this->deps.pool, std::move(connection),
       this->request.message.method() == http::verb::head);
   return true;
 }
@@ -350,7 +349,8 @@
   return this->HandleResponseHead(attempt);
 }
 
-// Skips responses to earlier requests on the same connection.
+// Skips responses to earlier requests on the same connection. An error without
+// an ID belongs to this request only if there was no earlier one.
 bool RequestHandler::ReadMatchingHead(Attempt& attempt) {
   UpstreamExchange& exchange = *attempt.exchange;
   while (exchange.ReadHead()) {
@@ -358,7 +358,8 @@
     attempt.meta = this->deps.protocol.ParseResponse(head.result_int(), head,
                                                      attempt.target.target);
     if (attempt.meta.id == this->meta.id ||
-        (attempt.meta.id.empty() && !IsSuccess(head.result_int()))) {
+        (attempt.meta.id.empty() && !IsSuccess(head.result_int()) &&
+         !exchange.IsReused())) {
       return true;
     }
     this->deps.metrics.Count(CountedEvent::kChunkCrossed);
--- a/src/gateway/response_forwarder.cc
+++ b/src/gateway/response_forwarder.cc
@@ -5,6 +5,13 @@
 
 namespace pimentospar {
 
+namespace {
+
+// An event that is longer is not a valid part of a stream.
+constexpr std::size_t kMaxEventBytes = 1ULL << 20;
+
+}  // namespace
+
 bool IsSuccess(unsigned status) {
   return status >= 200 && status < 300;
 }
@@ -12,14 +19,12 @@
 ResponseForwarder::ResponseForwarder(
     const Clock& clock,
     TimerQueue& timers,
-    UpstreamPool& pool,
     const CallerRequest& request,
     CallerChannel& channel,
     std::optional<std::uint64_t> last_event,
     std::function<void(Duration)> on_event_interval)
     : clock(clock),
       timers(timers),
-      pool(pool),
       request(request),
       channel(channel),
       events(last_event),
@@ -44,10 +49,11 @@
   EventSplitter splitter;
   std::string out;
   this->last_target_event_at.reset();
+  TimePoint timeout_at = this->clock.Now() + idle_timeout;
   while (true) {
     std::string_view data;
     const BodyReadResult part =
-        this->ReadBodyPart(exchange, idle_timeout, data);
+        this->ReadBodyPart(exchange, timeout_at - this->clock.Now(), data);
     if (part == BodyReadResult::kError) {
       return ForwardResult::kIncomplete;
     }
@@ -56,8 +62,15 @@
     if (!this->CollectEvents(splitter, out)) {
       return ForwardResult::kMissingEvent;
     }
-    if (!out.empty() && !this->SendEvents(out)) {
-      return ForwardResult::kCallerDisconnected;
+    if (!out.empty()) {
+      if (!this->SendEvents(out)) {
+        return ForwardResult::kCallerDisconnected;
+      }
+      // Only complete events are progress, not single bytes of one.
+      timeout_at = this->clock.Now() + idle_timeout;
+    }
+    if (splitter.PendingBytes() > kMaxEventBytes) {
+      return ForwardResult::kIncomplete;
     }
     if (part != BodyReadResult::kEnd) {
       continue;
@@ -65,16 +78,16 @@
     if (splitter.PendingBytes() > 0) {
       return ForwardResult::kIncomplete;
     }
-    exchange.Release(this->pool);
+    exchange.Release();
     return this->EndStream() ? ForwardResult::kDelivered
                              : ForwardResult::kCallerDisconnected;
   }
 }
 
 BodyReadResult ResponseForwarder::ReadBodyPart(UpstreamExchange& exchange,
-                                               Duration idle_timeout,
+                                               Duration max_wait,
                                                std::string_view& data) {
-  const ScopedTimer timer(this->timers, idle_timeout,
+  const ScopedTimer timer(this->timers, max_wait,
                           [&exchange] { exchange.Cancel(); });
   const BodyReadResult part = exchange.ReadBody(data);
   if (part != BodyReadResult::kData) {
@@ -136,7 +149,7 @@
     return ForwardResult::kIncomplete;
   }
   response.body = std::move(*body);
-  exchange.Release(this->pool);
+  exchange.Release();
   if (!IsSuccess(response.status)) {
     this->error_response = std::move(response);
     return ForwardResult::kErrorResponse;
--- a/src/gateway/response_forwarder.h
+++ b/src/gateway/response_forwarder.h
@@ -35,14 +35,13 @@
   /// target.
   ResponseForwarder(const Clock& clock,
                     TimerQueue& timers,
-                    UpstreamPool& pool,
                     const CallerRequest& request,
                     CallerChannel& channel,
                     std::optional<std::uint64_t> last_event,
                     std::function<void(Duration)> on_event_interval);
 
   /// Forwards events as they arrive, up to the end of the stream. A target that
-  /// sends nothing for `idle_timeout` counts as stalled.
+  /// sends no complete event for `idle_timeout` counts as stalled.
   [[nodiscard]] ForwardResult ForwardStream(UpstreamExchange& exchange,
                                             Duration idle_timeout);
   /// Forwards a response after all of it has arrived.
@@ -79,7 +78,7 @@
 
   [[nodiscard]] std::string BuildHead(const UpstreamExchange::Head& head) const;
   [[nodiscard]] BodyReadResult ReadBodyPart(UpstreamExchange& exchange,
-                                            Duration idle_timeout,
+                                            Duration max_wait,
                                             std::string_view& data);
   /// Appends the complete events of `splitter` that the caller lacks to `out`;
   /// returns false if an event is missing.
@@ -92,7 +91,6 @@
 
   const Clock& clock;
   TimerQueue& timers;
-  UpstreamPool& pool;
   const CallerRequest& request;
   CallerChannel& channel;
   EventSequenceChecker events;
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -7,6 +7,7 @@
 
 #include "gateway/sockets.h"
 #include "net/address.h"
+#include "net/log_line.h"
 
 namespace pimentospar {
 
@@ -16,6 +17,7 @@
 
 constexpr std::size_t kBodyBufferBytes = 8192;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+constexpr int kMaxInterimResponses = 16;
 // A peer that has lost power sends no reset. The kernel closes the connection
 // when data stays unacknowledged for this time.
 constexpr std::chrono::milliseconds kUserTimeout{3000};
@@ -117,13 +119,26 @@
 }
 
 struct UpstreamExchange::State {
-  State(std::unique_ptr<UpstreamConnection> connection, bool is_head_request)
-      : connection(std::move(connection)), is_head_request(is_head_request) {
+  State(UpstreamPool& pool,
+        std::shared_ptr<BufferBudget> buffers,
+        std::unique_ptr<UpstreamConnection> connection,
+        bool is_head_request)
+      : pool(pool),
+        buffers(std::move(buffers)),
+        connection(std::move(connection)),
+        is_head_request(is_head_request),
+        is_reused(this->connection->used) {
     this->parser.emplace();
+    this->connection->used = true;
   }
+  ~State() { this->buffers->Release(this->buffered_bytes); }
 
+  UpstreamPool& pool;
+  std::shared_ptr<BufferBudget> buffers;
+  std::size_t buffered_bytes = 0;
   std::unique_ptr<UpstreamConnection> connection;
   bool is_head_request;
+  bool is_reused;
   std::string head;
   std::shared_ptr<const std::string> body;
   std::optional<http::response_parser<http::buffer_body>> parser;
@@ -134,9 +149,13 @@
 };
 
 UpstreamExchange::UpstreamExchange(
+    UpstreamPool& pool,
     std::unique_ptr<UpstreamConnection> connection,
     bool is_head_request)
-    : state(std::make_shared<State>(std::move(connection), is_head_request)) {}
+    : state(std::make_shared<State>(pool,
+                                    pool.buffers,
+                                    std::move(connection),
+                                    is_head_request)) {}
 
 UpstreamExchange::~UpstreamExchange() {
   if (this->state->connection != nullptr) {
@@ -147,6 +166,10 @@
   }
 }
 
+bool UpstreamExchange::IsReused() const {
+  return this->state->is_reused;
+}
+
 void UpstreamExchange::Send(std::string head,
                             std::shared_ptr<const std::string> body) {
   State& state = *this->state;
@@ -165,7 +188,7 @@
 
 bool UpstreamExchange::ReadHead() {
   State& state = *this->state;
-  while (!state.cancelled) {
+  for (int i = 0; i <= kMaxInterimResponses && !state.cancelled; ++i) {
     state.parser.emplace();
     state.parser->header_limit(kMaxHeadBytes);
     state.parser->body_limit(boost::none);
@@ -216,8 +239,17 @@
 std::optional<std::string> UpstreamExchange::ReadRemainingBody() {
   std::string rest;
   std::string_view data;
+  State& state = *this->state;
   BodyReadResult part = this->ReadBody(data);
   while (part == BodyReadResult::kData) {
+    if (rest.size() + data.size() > state.pool.options.max_buffered_body ||
+        !state.buffers->TryReserve(data.size())) {
+      LogWarning("body_too_large", {{"address", state.connection->address},
+                                    {"bytes", rest.size()},
+                                    {"all", state.buffers->Reserved()}});
+      return std::nullopt;
+    }
+    state.buffered_bytes += data.size();
     rest += data;
     part = this->ReadBody(data);
   }
@@ -227,8 +259,13 @@
 
 bool UpstreamExchange::DiscardRemainingBody() {
   std::string_view ignored;
+  std::size_t discarded = 0;
   BodyReadResult part = this->ReadBody(ignored);
   while (part == BodyReadResult::kData) {
+    discarded += ignored.size();
+    if (discarded > this->state->pool.options.max_buffered_body) {
+      return false;
+    }
     part = this->ReadBody(ignored);
   }
   return part == BodyReadResult::kEnd;
@@ -242,7 +279,7 @@
   }
 }
 
-void UpstreamExchange::Release(UpstreamPool& pool) {
+void UpstreamExchange::Release() {
   State& state = *this->state;
   // Bytes after the response belong to no request. If the request was not sent
   // completely, the peer would read the next request as the rest of it.
@@ -251,7 +288,7 @@
                         state.connection->buffer.size() == 0;
   if (reusable) {
     const auto idle_time = ParseKeepAliveTimeout(state.parser->get().base());
-    pool.AddIdle(std::move(state.connection), idle_time);
+    state.pool.AddIdle(std::move(state.connection), idle_time);
   }
 }
 
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -26,6 +26,9 @@
   std::string address;
   /// The peer may close the connection after this time.
   TimePoint usable_until;
+  /// True once a request was sent over the connection. Late responses to it may
+  /// then still arrive.
+  bool used = false;
 };
 
 /// Timeouts and limits of an `UpstreamPool`.
@@ -40,6 +43,31 @@
   /// the peer ends.
   Duration idle_margin = std::chrono::milliseconds(500);
   std::size_t max_idle_per_address = 64;
+  /// Largest body that is kept in memory as a whole.
+  std::size_t max_buffered_body = 8ULL << 20;
+  /// Limit on all such bodies together.
+  std::size_t max_buffered_bytes = 32ULL << 20;
+};
+
+/// Counts the bytes of all bodies that are kept in memory.
+class BufferBudget {
+ public:
+  explicit BufferBudget(std::size_t limit) : limit(limit) {}
+
+  /// Returns false, and reserves nothing, if the limit would be exceeded.
+  [[nodiscard]] bool TryReserve(std::size_t bytes) {
+    if (bytes > this->limit - this->reserved) {
+      return false;
+    }
+    this->reserved += bytes;
+    return true;
+  }
+  void Release(std::size_t bytes) { this->reserved -= bytes; }
+  [[nodiscard]] std::size_t Reserved() const { return this->reserved; }
+
+ private:
+  std::size_t limit;
+  std::size_t reserved = 0;
 };
 
 /// Connects to peers and keeps idle connections by address.
@@ -49,7 +77,11 @@
                TimerQueue& timers,
                const Clock& clock,
                UpstreamOptions options)
-      : loop(loop), timers(timers), clock(clock), options(options) {}
+      : loop(loop),
+        timers(timers),
+        clock(clock),
+        options(options),
+        buffers(std::make_shared<BufferBudget>(options.max_buffered_bytes)) {}
 
   /// Returns an idle connection to `address`, or null if there is none.
   [[nodiscard]] std::unique_ptr<UpstreamConnection> TakeIdle(
@@ -63,7 +95,13 @@
   void AddIdle(std::unique_ptr<UpstreamConnection> connection,
                std::optional<std::chrono::seconds> idle_time);
 
+  /// Returns the bytes of the bodies that are kept in memory.
+  [[nodiscard]] std::size_t BufferedBytes() const {
+    return this->buffers->Reserved();
+  }
+
  private:
+  friend class UpstreamExchange;
   using IdleConnections = std::deque<std::unique_ptr<UpstreamConnection>>;
 
   void CloseExpired();
@@ -72,6 +110,7 @@
   TimerQueue& timers;
   const Clock& clock;
   UpstreamOptions options;
+  std::shared_ptr<BufferBudget> buffers;
   std::unordered_map<std::string, IdleConnections> idle;
   TimePoint last_expiry;
 };
@@ -85,7 +124,9 @@
  public:
   using Head = boost::beast::http::response_header<boost::beast::http::fields>;
 
-  UpstreamExchange(std::unique_ptr<UpstreamConnection> connection,
+  /// `pool` must outlive the exchange.
+  UpstreamExchange(UpstreamPool& pool,
+                   std::unique_ptr<UpstreamConnection> connection,
                    bool is_head_request);
   UpstreamExchange(const UpstreamExchange&) = delete;
   UpstreamExchange& operator=(const UpstreamExchange&) = delete;
@@ -94,20 +135,25 @@
   /// Starts sending the request; the response may begin before all of it is
   /// sent.
   void Send(std::string head, std::shared_ptr<const std::string> body);
+  /// Returns whether another request was sent over the connection before.
+  [[nodiscard]] bool IsReused() const;
   /// Reads the head of the final response; returns false if the peer closes the
-  /// connection or sends no valid response.
+  /// connection, sends no valid response or too many interim ones.
   [[nodiscard]] bool ReadHead();
   [[nodiscard]] const Head& GetHead() const;
   /// Reads a part of the body; `data` stays valid until the next call.
   [[nodiscard]] BodyReadResult ReadBody(std::string_view& data);
-  /// Returns the rest of the body, or nothing if it ends early.
+  /// Returns the rest of the body, or nothing if it ends early or exceeds a
+  /// limit of the pool. Its bytes count against the limit for all bodies until
+  /// the exchange ends.
   [[nodiscard]] std::optional<std::string> ReadRemainingBody();
-  /// Reads and discards the rest of the body; returns false if it ends early.
+  /// Reads and discards the rest of the body; returns false if it ends early or
+  /// is longer than any body that is kept.
   [[nodiscard]] bool DiscardRemainingBody();
   /// Closes the connection; pending operations fail.
   void Cancel();
   /// Returns the connection to the pool if it can be reused.
-  void Release(UpstreamPool& pool);
+  void Release();
 
  private:
   struct State;
--- a/src/gateway/upstream_client.cc
+++ b/src/gateway/upstream_client.cc
@@ -9,7 +9,7 @@
   if (connection == nullptr) {
     return std::nullopt;
   }
-  UpstreamExchange exchange(std::move(connection), false);
+  UpstreamExchange exchange(this->pool, std::move(connection), false);
   const ScopedTimer timer(this->timers, timeout,
                           [&exchange] { exchange.Cancel(); });
   std::string head = request.method + " " + request.path +
@@ -29,7 +29,7 @@
   if (!body) {
     return std::nullopt;
   }
-  exchange.Release(this->pool);
+  exchange.Release();
   return UpstreamResponse{status, std::move(*body)};
 }
 
--- a/src/gateway/upstream_client.h
+++ b/src/gateway/upstream_client.h
@@ -27,11 +27,13 @@
   std::string body;
 };
 
-/// Sends small requests and reads their responses completely.
+/// Sends small requests and reads their responses completely. It has its own
+/// connections, since a late response to a caller's request could otherwise be
+/// taken for the response to an order.
 class UpstreamClient {
  public:
-  UpstreamClient(UpstreamPool& pool, TimerQueue& timers, const Clock& clock)
-      : pool(pool), timers(timers), clock(clock) {}
+  UpstreamClient(FiberLoop& loop, TimerQueue& timers, const Clock& clock)
+      : pool(loop, timers, clock, {}), timers(timers), clock(clock) {}
 
   /// Suspends the fiber until the response is complete; returns nothing if that
   /// takes longer than `timeout` or fails. A `GET` that fails on a reused
@@ -46,7 +48,7 @@
       const UpstreamRequest& request,
       Duration timeout);
 
-  UpstreamPool& pool;
+  UpstreamPool pool;
   TimerQueue& timers;
   const Clock& clock;
 };
--- a/test/gateway/platform_test.cc
+++ b/test/gateway/platform_test.cc
@@ -29,8 +29,7 @@
 struct Fixture {
   SystemClock clock;
   TimerQueue timers{Loop(), clock};
-  UpstreamPool pool{Loop(), timers, clock, {}};
-  UpstreamClient http{pool, timers, clock};
+  UpstreamClient http{Loop(), timers, clock};
   std::optional<std::string> response;
   ScriptedTarget server{[this](RawConnection& connection, const std::string&) {
     if (this->response) {
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -260,6 +260,171 @@
   BOOST_TEST(!Contains(response, "wrong"), response);
 }
 
+// A late copy of an earlier refusal without an ID must not be taken for the
+// response to the next request on the connection, which then runs twice.
+BOOST_FIXTURE_TEST_CASE(IgnoresARefusalWithoutIdOnAReusedConnection, Fixture) {
+  std::size_t requests = 0;
+  ScriptedTarget target(
+      [&](RawConnection& connection, const std::string& request) {
+        if (++requests == 2) {
+          connection.Write(
+              "HTTP/1.1 503 Service Unavailable\r\n"
+              "X-Pimentospar-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        }
+        return Echo(connection, request);
+      });
+  this->AddTarget("t", target);
+  BOOST_TEST(this->Send("POST /unsafe/1", "", "x").ends_with("body"));
+  std::string request = Request("POST /unsafe/1", "", "x");
+  request.replace(request.find("Id: r1"), 6, "Id: r2");
+  RawConnection caller(this->server.LocalAddress());
+  caller.Write(request);
+  const std::string response = caller.ReadAll();
+  BOOST_TEST(response.ends_with("\r\n\r\nbody"), response);
+  BOOST_TEST(target.Requests().size() == 2U);
+  BOOST_TEST(target.EndedConnections() == 0U);
+}
+
+// The first attempt is refused and its refusal is sent twice, the second time
+// when the target already runs the second attempt.
+BOOST_FIXTURE_TEST_CASE(IgnoresASecondCopyOfItsOwnRefusal, Fixture) {
+  std::size_t runs = 0;
+  const RawConnection* refused = nullptr;
+  const auto misdirected = [](const std::string& request) {
+    return Response(RequestIdOf(request), "", "", "421 Misdirected Request");
+  };
+  ScriptedTarget target(
+      [&](RawConnection& connection, const std::string& request) {
+        if (refused == nullptr) {
+          refused = &connection;
+          connection.Write(misdirected(request));
+          return true;
+        }
+        ++runs;
+        if (refused == &connection) {
+          connection.Write(misdirected(request));
+        }
+        connection.Write(Response(RequestIdOf(request), "body"));
+        return true;
+      });
+  this->AddTarget("t", target);
+  const std::string response = this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(response.ends_with("\r\n\r\nbody"), response);
+  BOOST_TEST(runs == 1U);
+}
+
+// Responses without an end: nothing may be kept or read without a limit.
+class EndlessResponse : public Fixture {
+ public:
+  // Sends `part` again and again until the connection is closed, at most
+  // `kMaxSentBytes`.
+  ScriptedTarget::Script Repeat(std::string head, std::string part) {
+    return [this, head, part](RawConnection& connection,
+                              const std::string& request) {
+      std::string text = head;
+      const auto at = text.find("ID");
+      if (at != std::string::npos) {
+        text.replace(at, 2, RequestIdOf(request));
+      }
+      connection.Write(text);
+      while (this->sent_bytes < kMaxSentBytes && connection.IsOpen()) {
+        connection.Write(part);
+        this->sent_bytes += part.size();
+      }
+      return false;
+    };
+  }
+
+  static constexpr std::size_t kMaxSentBytes = 64ULL << 20;
+  // What an entry may read of one response, with room for socket buffers.
+  static constexpr std::size_t kMaxReadBytes = 24ULL << 20;
+  std::size_t sent_bytes = 0;
+};
+
+BOOST_FIXTURE_TEST_CASE(EndsABodyWithoutEnd, EndlessResponse) {
+  ScriptedTarget target(this->Repeat(
+      "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: ID\r\n" +
+          std::string(kStamp) + "Transfer-Encoding: chunked\r\n\r\n",
+      Chunk(std::string(64 << 10, 'x'))));
+  this->AddTarget("t", target);
+  const std::string response = this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"), response.substr(0, 100));
+  BOOST_TEST(this->sent_bytes < kMaxReadBytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(EndsAnEventWithoutEnd, EndlessResponse) {
+  ScriptedTarget target(this->Repeat(
+      "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: ID\r\n" +
+          std::string(kStamp) + "Transfer-Encoding: chunked\r\n\r\n",
+      Chunk("data: " + std::string(64 << 10, 'x') + "\n")));
+  this->AddTarget("t", target);
+  const std::string response = this->Send("POST /once/1", "", "x");
+  BOOST_TEST(!Contains(response, "HTTP/1.1 200"), response.substr(0, 100));
+  BOOST_TEST(this->sent_bytes < kMaxReadBytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(EndsInterimHeadsWithoutEnd, EndlessResponse) {
+  ScriptedTarget target(
+      this->Repeat("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"));
+  this->AddTarget("t", target);
+  const std::string response = this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"), response.substr(0, 100));
+  BOOST_TEST(this->sent_bytes < kMaxReadBytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(EndsAHeadWithoutEnd, EndlessResponse) {
+  ScriptedTarget target(
+      this->Repeat("HTTP/1.1 200 OK\r\n", "X-Filler: 0123456789\r\n"));
+  this->AddTarget("t", target);
+  const std::string response = this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"), response.substr(0, 100));
+  BOOST_TEST(this->sent_bytes < kMaxReadBytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(EndsTheBodyOfAnotherRequestWithoutEnd,
+                        EndlessResponse) {
+  ScriptedTarget target(this->Repeat(
+      "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: other\r\n" +
+          std::string(kStamp) + "Transfer-Encoding: chunked\r\n\r\n",
+      Chunk(std::string(64 << 10, 'x'))));
+  this->AddTarget("t", target);
+  const std::string response = this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"), response.substr(0, 100));
+  BOOST_TEST(this->sent_bytes < kMaxReadBytes);
+}
+
+// Many targets with such bodies together stay within one limit.
+BOOST_FIXTURE_TEST_CASE(EndsManyBodiesWithoutEnd, EndlessResponse) {
+  ScriptedTarget target([](RawConnection& connection,
+                           const std::string& request) {
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " + RequestIdOf(request) +
+        "\r\n" + std::string(kStamp) + "Transfer-Encoding: chunked\r\n\r\n");
+    // Below the limit of one response, and never completed.
+    for (int i = 0; i < 48 && connection.IsOpen(); ++i) {
+      connection.Write(Chunk(std::string(64 << 10, 'x')));
+    }
+    (void)connection.ReadUntil("never");
+    return false;
+  });
+  this->AddTarget("t", target);
+  std::size_t ended = 0;
+  constexpr std::size_t kCallers = 24;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    Loop().Spawn([this, &ended] {
+      (void)this->Send("POST /unsafe/1", "X-Pimentospar-Deadline-Ms: 4000\r\n",
+                       "x");
+      ++ended;
+    });
+  }
+  BOOST_TEST(Eventually([&] { return this->pool.BufferedBytes() > 0; }));
+  while (ended < kCallers) {
+    BOOST_REQUIRE_LE(this->pool.BufferedBytes(), 48U << 20);
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(this->pool.BufferedBytes() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(RejectsAnUnsignedSuccess, Fixture) {
   ScriptedTarget target(
       [](RawConnection& connection, const std::string& request) {
@@ -351,6 +516,52 @@
   BOOST_TEST(one.Requests().size() + two.Requests().size() == 1U);
 }
 
+// Single bytes of an event are no progress: the stream continues elsewhere.
+BOOST_FIXTURE_TEST_CASE(ResumesAStreamThatSendsOnlyBytesNowAndThen, Fixture) {
+  const auto script = [](RawConnection& connection,
+                         const std::string& request) {
+    const std::string id = RequestIdOf(request);
+    if (Contains(request, "Last-Event-Id: ")) {
+      connection.Write(StreamHead(id) + Chunk(Event(2)) + "0\r\n\r\n");
+      return true;
+    }
+    connection.Write(StreamHead(id) + Chunk(Event(1)));
+    while (connection.IsOpen()) {
+      connection.Write(Chunk("d"));
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+    }
+    return false;
+  };
+  ScriptedTarget one(script);
+  ScriptedTarget two(script);
+  this->AddTarget("one", one);
+  this->AddTarget("two", two);
+  const TimePoint start = this->clock.Now();
+  const std::string response =
+      this->Send("POST /stream/1", "X-Pimentospar-Deadline-Ms: 9000\r\n", "x");
+  BOOST_TEST(response.ends_with("0\r\n\r\n"), response);
+  BOOST_TEST(Count(response, Event(2)) == 1U, response);
+  BOOST_TEST((this->clock.Now() - start < std::chrono::seconds(6)));
+}
+
+// A stream that is slow, but sends whole events, is not cut.
+BOOST_FIXTURE_TEST_CASE(KeepsASlowStream, Fixture) {
+  ScriptedTarget target(
+      [](RawConnection& connection, const std::string& request) {
+        connection.Write(StreamHead(RequestIdOf(request)));
+        for (int i = 1; i <= 4; ++i) {
+          boost::this_fiber::sleep_for(std::chrono::milliseconds(900));
+          connection.Write(Chunk(Event(i)));
+        }
+        connection.Write("0\r\n\r\n");
+        return true;
+      });
+  this->AddTarget("t", target);
+  const std::string response = this->Send("POST /stream/1", "", "x");
+  BOOST_TEST(response.ends_with("0\r\n\r\n"), response);
+  BOOST_TEST(target.Requests().size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(CancelsTheAttemptWhenTheCallerDisconnects, Fixture) {
   ScriptedTarget target(
       [](RawConnection& connection, const std::string& request) {
--- a/test/gateway/support.h
+++ b/test/gateway/support.h
@@ -62,12 +62,18 @@
 
   void Write(std::string_view text) {
     const std::string copy(text);
-    (void)Await([&](auto handler) {
+    const IoResult written = Await([&](auto handler) {
       boost::asio::async_write(this->socket, boost::asio::buffer(copy),
                                std::move(handler));
     });
+    if (!written.IsGood()) {
+      this->Close();
+    }
   }
 
+  /// Returns whether no write has failed so far.
+  [[nodiscard]] bool IsOpen() const { return this->socket.is_open(); }
+
   /// Appends the next received bytes to `text`; returns false at the end of the
   /// connection.
   bool ReadMore() {
