Plan with counted copies, batch inventories, replace a holder without the log

A further copy was rated by the utilization it takes off one engine, not by the requests that it serves better. A holder that was cut off from the log kept its lease by announcing it, while all entries read the log for themselves. The announcements of a holder that reads the log 2.5 s later than the receiver do not keep its lease from expiring.

--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -93,6 +93,9 @@
   double add_copy_slot_share = 0.9;
   /// Gain of a copy that adds needed adapter slots.
   double adapter_slot_gain = 0.1;
+  /// Factor on the loss that a load causes to the callers of other copies, so
+  /// that copies do not alternate between models with nearly equal demand.
+  double loss_factor = 1.5;
   /// Gain of the first copy of a model in addition to its utilization.
   double first_copy_gain = 0.2;
   /// Growth of that gain for each second without a copy: a rarely used model
@@ -173,6 +176,16 @@
     /// When the planner first saw that requests need a first copy.
     std::optional<TimePoint> missing_since;
   };
+  /// How many usable engines have loaded a model or will do so.
+  struct CopyCounts {
+    /// Loaded and not being unloaded.
+    std::size_t ready = 0;
+    /// `ready`, and those that are being loaded or that memory is freed for.
+    std::size_t expected = 0;
+    /// Loaded at the engines for short and for other prompts.
+    std::size_t at_short_prompt_engines = 0;
+    std::size_t at_other_engines = 0;
+  };
   struct CopyNeed {
     ServiceCopy copy;
     double gain = 0;
@@ -191,8 +204,8 @@
   CopyDemandState& DecayedDemandState(const ServiceCopy& copy);
   [[nodiscard]] double Utilization(const ServiceCopy& copy) const;
   [[nodiscard]] bool IsWanted(const CopyDemandState& demand_state) const;
-  [[nodiscard]] std::size_t CountCopies(const ServiceCopy& copy,
-                                        bool with_pending) const;
+  [[nodiscard]] CopyCounts CountCopies(const ServiceCopy& model) const;
+  void RecountCopies();
   [[nodiscard]] double UnloadLoss(const EngineState& engine,
                                   const ModelId& model) const;
   /// Returns the gain of loading the first copy of a model.
@@ -249,6 +262,8 @@
   /// Engines of all services that should serve short prompts.
   std::set<TargetId> short_prompt_engines;
   std::map<ServiceCopy, CopyDemandState> demand_states;
+  /// Counts of all models, as of the last order or change of the targets.
+  std::map<ServiceCopy, CopyCounts> copy_counts;
   /// Start times of loads from the weight store within the window.
   std::deque<TimePoint> store_loads;
 };
--- a/include/pimentospar/routing/inventory.h
+++ b/include/pimentospar/routing/inventory.h
@@ -33,6 +33,7 @@
   /// known.
   std::uint64_t accepted_orders = 0;
   std::vector<LoadedModel> models;
+  bool operator==(const Inventory&) const = default;
 };
 
 /// Returns null if the model is not in `models`.
--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -186,6 +186,16 @@
   /// Returns the registered targets and those whose removal is not yet in
   /// effect.
   [[nodiscard]] std::vector<TargetDescription> Targets() const;
+  /// Calls `visitor` with a reference to each of these targets.
+  template <typename Visitor>
+  void VisitTargets(Visitor&& visitor) const {
+    const TimePoint now = this->clock.Now();
+    for (const auto& [id, target] : this->targets) {
+      if (!target.removed_at || now < *target.removed_at) {
+        visitor(target.description);
+      }
+    }
+  }
   /// Returns null for an unknown target.
   [[nodiscard]] const TargetDescription* Find(const TargetId& target) const;
   /// Returns the number of this entry's requests that the target has not
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -122,6 +122,9 @@
   [[nodiscard]] bool HasFreshFeed() const;
   void OnMessage(const EntryMessage& message);
   void PollEntriesForHolder();
+  /// Returns whether the lease holder reads the log, or at least not much later
+  /// than this entry does.
+  [[nodiscard]] bool HolderReachesLog(const EntryMessage& message) const;
   void SendInventoriesWithCopy(const HostId& host, const ServiceCopy& copy);
 
   FiberLoop& loop;
--- a/src/gateway/gateway_messages.cc
+++ b/src/gateway/gateway_messages.cc
@@ -10,6 +10,9 @@
 constexpr std::size_t kLoadsPerMessage = 40;
 constexpr std::chrono::milliseconds kHeartbeatInterval{500};
 constexpr std::chrono::milliseconds kUnknownHolderPollInterval{4000};
+// A lease holder whose last read of the log is older than that of another entry
+// by more than this has lost the log, which the other entry still reaches.
+constexpr std::chrono::milliseconds kMaxHolderLogLag{2500};
 // Demand and wanted copies are reported this often, and at once when a request
 // starts to wait for a copy.
 constexpr std::chrono::milliseconds kDemandReportInterval{150};
@@ -120,7 +123,8 @@
     if (!this->entry_transport.IsKnown(message.host)) {
       this->PollEntriesForHolder();
     }
-    this->lease.OnAnnouncedLease(*message.lease);
+    this->lease.OnAnnouncedLease(*message.lease,
+                                 this->HolderReachesLog(message));
     if (!this->lease.Held()) {
       this->ApplyFeed(message);
     }
@@ -146,18 +150,23 @@
   }
 }
 
+bool Gateway::HolderReachesLog(const EntryMessage& message) const {
+  return message.registration_age <
+         this->target_watcher.TimeSinceLastRead() + kMaxHolderLogLag;
+}
+
 // Sends an entry the inventories that contain a copy, in case the entry missed
 // the broadcast.
 void Gateway::SendInventoriesWithCopy(const HostId& host,
                                       const ServiceCopy& copy) {
   EntryMessage message =
       this->registration_feed.MakeMessage(this->GetHolderState());
-  for (const TargetDescription& target : this->targets.Targets()) {
+  this->targets.VisitTargets([&](const TargetDescription& target) {
     if (target.service == copy.service && !target.draining &&
         HasCopy(target.inventory, copy.copy)) {
       message.inventories.push_back({target.id, target.inventory});
     }
-  }
+  });
   if (!message.inventories.empty()) {
     this->entry_transport.Send(host, std::move(message));
   }
--- a/src/gateway/lease_manager.cc
+++ b/src/gateway/lease_manager.cc
@@ -89,8 +89,8 @@
          this->clock.Now() - *this->holder_message_at < kHolderMessageTimeout;
 }
 
-void LeaseManager::OnAnnouncedLease(LogOffset other) {
-  if (this->lease.IsCurrent(other)) {
+void LeaseManager::OnAnnouncedLease(LogOffset other, bool holder_reaches_log) {
+  if (holder_reaches_log && this->lease.IsCurrent(other)) {
     this->lease.OnHolderHeartbeat(other);
     this->holder_message_at = this->clock.Now();
   }
--- a/src/gateway/lease_manager.h
+++ b/src/gateway/lease_manager.h
@@ -40,8 +40,10 @@
   /// while the log is unavailable and no newer lease is known.
   [[nodiscard]] std::optional<LogOffset> Held() const;
   /// Records that another process announced that it acts under lease `other`.
-  /// The log is not read while such announcements arrive.
-  void OnAnnouncedLease(LogOffset other);
+  /// The log is not read while such announcements arrive from a process that
+  /// reaches it. One that does not must be replaced, so its announcements do
+  /// not keep the lease from expiring.
+  void OnAnnouncedLease(LogOffset other, bool holder_reaches_log = true);
   /// Returns whether the lease holder has announced itself recently, so that
   /// the log need not be read.
   [[nodiscard]] bool HasRecentHolderMessage() const;
--- a/src/gateway/order_dispatcher.cc
+++ b/src/gateway/order_dispatcher.cc
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kMinRefreshInterval{300};
 // Time after an unanswered order until the target's state is read.
 constexpr std::chrono::milliseconds kLostAnswerDelay{300};
+// Changes within this time are sent together.
+constexpr std::chrono::milliseconds kPublicationDelay{20};
 // An order that takes longer counts as unknown and is left to the next plan.
 constexpr std::chrono::seconds kMaxOrderDuration{15};
 
@@ -62,11 +64,31 @@
       control(control),
       metrics(metrics),
       on_inventories(std::move(on_inventories)),
-      planner(clock, {}) {}
+      planner(clock, {}),
+      batcher(clock) {}
 
 void OrderDispatcher::Start() {
   this->loop.Spawn([this] { this->Run(); });
   this->loop.Spawn([this] { this->RunLoadPolls(); });
+  this->loop.Spawn([this] { this->RunPublications(); });
+}
+
+void OrderDispatcher::RunPublications() {
+  constexpr std::chrono::seconds kMaxIdle{1};
+  while (true) {
+    if (!this->batcher.HasQueued()) {
+      (void)this->inventory_queued.WaitFor(kMaxIdle);
+      continue;
+    }
+    boost::this_fiber::sleep_for(kPublicationDelay);
+    this->SendQueuedInventories();
+  }
+}
+
+void OrderDispatcher::SendQueuedInventories() {
+  while (this->batcher.HasQueued()) {
+    this->on_inventories(this->batcher.TakeBatch());
+  }
 }
 
 std::vector<TargetLoadReport> OrderDispatcher::TakeLoads() {
@@ -116,6 +138,7 @@
       this->active_lease = held;
       this->planner.DropPendingOrders();
       this->known.clear();
+      this->batcher.Clear();
     }
     if (this->active_lease && this->routes != nullptr) {
       this->Plan();
@@ -341,13 +364,16 @@
                                        const Inventory& inventory) {
   this->targets.OnInventory(target, inventory, InventorySource::kPlanner);
   this->targets_changed.NotifyAll();
-  this->on_inventories({{target, inventory}});
+  this->batcher.Add(target, inventory);
+  this->inventory_queued.NotifyAll();
 }
 
 void OrderDispatcher::PublishRemoval(const PlannedOrder& order) {
   Inventory inventory = this->known[order.target].inventory;
   RemoveCopy(inventory, order.copy);
   this->PublishInventory(order.target, inventory);
+  // The order follows at once.
+  this->SendQueuedInventories();
 }
 
 }  // namespace pimentospar
--- a/src/gateway/order_dispatcher.h
+++ b/src/gateway/order_dispatcher.h
@@ -9,6 +9,7 @@
 
 #include "gateway/entry_message.h"
 #include "gateway/fiber_loop.h"
+#include "gateway/inventory_batcher.h"
 #include "gateway/lease_manager.h"
 #include "gateway/target_control.h"
 #include "net/metrics.h"
@@ -66,6 +67,9 @@
   /// that its next inventory is not known.
   bool Refresh(const TargetId& target);
   void UpdateInventory(const TargetId& target, const Inventory& inventory);
+  /// Sends the queued inventories a moment after the first of them was queued.
+  void RunPublications();
+  void SendQueuedInventories();
   void PublishInventory(const TargetId& target, const Inventory& inventory);
   /// Returns whether a reported inventory may be older than the known one,
   /// since reports lag behind.
@@ -92,6 +96,8 @@
   std::shared_ptr<const RouteTable> routes;
   std::optional<LogOffset> active_lease;
   std::map<TargetId, ReportedLoad> loads;
+  InventoryBatcher batcher;
+  FiberSignal inventory_queued;
   /// The inventories of engines, as read and changed by orders under the active
   /// lease. Registrations lag and do not change them.
   std::map<TargetId, KnownInventory> known;
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -17,10 +17,23 @@
 constexpr double kSameGroupLoss = 0.05;
 // Loss of unloading any copy, so that free memory is preferred.
 constexpr double kMinUnloadLoss = 0.01;
+// An added copy serves at most the work of one engine, which counts twice, as
+// that of a first copy does.
+constexpr double kMaxCopyGain = 2;
 // Demand that has decayed below this many requests counts as none.
 constexpr double kMinRequests = 0.05;
 constexpr std::chrono::seconds kDemandRetention{60};
 
+// Returns the engine time of requests that are served late if a model's work
+// is spread evenly over its copies. The share of late requests grows with the
+// square of the utilization, and in proportion to it for overloaded copies.
+double LateWork(double utilization, double copies) {
+  const double per_copy = utilization / copies;
+  const double late_share =
+      per_copy <= 1 ? per_copy * per_copy : 2 * per_copy - 1;
+  return utilization * late_share;
+}
+
 // Returns the memory to keep free for the adapter slots of an engine.
 Bytes AdapterMemory(const EngineSpec& spec) {
   Bytes largest = 0;
@@ -97,19 +110,14 @@
 
 bool CopyPlanner::HasCopiesOnlyInGroupOf(const EngineState& engine,
                                          const ModelId& model) const {
+  const CopyCounts counts =
+      this->CountCopies(ServiceCopy{engine.service, {model, {}}});
   const bool is_for_short = this->short_prompt_engines.contains(engine.id);
-  bool has_copy_in_group = false;
-  for (const auto& [id, other] : this->engines) {
-    if (other.service != engine.service || !other.usable ||
-        FindModel(other.models, model) == nullptr) {
-      continue;
-    }
-    if (this->short_prompt_engines.contains(id) != is_for_short) {
-      return false;
-    }
-    has_copy_in_group = true;
-  }
-  return has_copy_in_group;
+  const std::size_t in_group =
+      is_for_short ? counts.at_short_prompt_engines : counts.at_other_engines;
+  const std::size_t in_other_group =
+      is_for_short ? counts.at_other_engines : counts.at_short_prompt_engines;
+  return in_group > 0 && in_other_group == 0;
 }
 
 CopyPlanner::CopyDemandState& CopyPlanner::DecayedDemandState(
@@ -181,26 +189,47 @@
          Seconds(this->options.demand_time_constant);
 }
 
-std::size_t CopyPlanner::CountCopies(const ServiceCopy& copy,
-                                     bool with_pending) const {
-  std::size_t count = 0;
+CopyPlanner::CopyCounts CopyPlanner::CountCopies(
+    const ServiceCopy& model) const {
+  const auto found =
+      this->copy_counts.find({model.service, {model.copy.model, {}}});
+  return found == this->copy_counts.end() ? CopyCounts{} : found->second;
+}
+
+void CopyPlanner::RecountCopies() {
+  this->copy_counts.clear();
   for (const auto& [id, engine] : this->engines) {
-    if (engine.service != copy.service || !engine.usable) {
+    if (!engine.usable) {
       continue;
     }
-    const bool has_order = engine.pending && engine.pending->copy == copy.copy;
-    const bool is_unloading =
-        has_order && engine.pending->kind == OrderKind::kUnload;
-    const bool is_loaded = FindModel(engine.models, copy.copy.model) != nullptr;
-    const bool is_loading =
-        has_order && engine.pending->kind == OrderKind::kLoad;
-    const bool is_expected =
-        is_loading || this->IsReservedFor(engine, copy.copy.model);
-    if ((is_loaded && !is_unloading) || (with_pending && is_expected)) {
-      ++count;
+    const auto counts_of = [&](const ModelId& model) -> CopyCounts& {
+      return this->copy_counts[{engine.service, {model, {}}}];
+    };
+    std::set<ModelId> expected;
+    for (const LoadedModel& loaded : engine.models) {
+      CopyCounts& counts = counts_of(loaded.model);
+      ++(this->short_prompt_engines.contains(id)
+             ? counts.at_short_prompt_engines
+             : counts.at_other_engines);
+      const bool is_unloading =
+          engine.pending && engine.pending->kind == OrderKind::kUnload &&
+          engine.pending->copy == CopyRef{loaded.model, {}};
+      if (!is_unloading) {
+        ++counts.ready;
+        expected.insert(loaded.model);
+      }
+    }
+    if (engine.pending && engine.pending->kind == OrderKind::kLoad) {
+      expected.insert(engine.pending->copy.model);
+    }
+    if (engine.reserved_for &&
+        this->IsReservedFor(engine, *engine.reserved_for)) {
+      expected.insert(*engine.reserved_for);
+    }
+    for (const ModelId& model : expected) {
+      ++counts_of(model).expected;
     }
   }
-  return count;
 }
 
 double CopyPlanner::FirstCopyGain(CopyDemandState& demand_state,
@@ -219,7 +248,7 @@
   std::vector<CopyNeed> needs;
   for (const ModelSpec& model : service.engine->models) {
     const ServiceCopy copy{service.id, {model.id, {}}};
-    const auto copies = static_cast<double>(this->CountCopies(copy, true));
+    const auto copies = static_cast<double>(this->CountCopies(copy).expected);
     const auto demand_state = this->demand_states.find(copy);
     if (demand_state == this->demand_states.end()) {
       continue;
@@ -239,7 +268,9 @@
     const double per_copy = utilization / copies;
     const bool needs_slots = this->IsShortOfAdapterSlots(copy, copies);
     if (per_copy > this->options.add_copy_utilization || needs_slots) {
-      const double gain = per_copy - utilization / (copies + 1);
+      const double gain =
+          std::min(kMaxCopyGain, LateWork(utilization, copies) -
+                                     LateWork(utilization, copies + 1));
       needs.push_back(
           {copy, gain + (needs_slots ? this->options.adapter_slot_gain : 0),
            OrderReason::kOverload});
@@ -259,19 +290,20 @@
 double CopyPlanner::UnloadLoss(const EngineState& engine,
                                const ModelId& model) const {
   const ServiceCopy copy{engine.service, {model, {}}};
-  const auto copies = static_cast<double>(this->CountCopies(copy, false));
+  const auto copies = static_cast<double>(this->CountCopies(copy).ready);
   const double utilization = this->Utilization(copy);
   if (copies <= 1) {
     return utilization > 0 ? this->options.last_copy_value + 3 * utilization
                            : this->options.idle_copy_value;
   }
   const double per_copy = utilization / (copies - 1);
-  const double loss = per_copy - utilization / copies;
+  const double loss =
+      LateWork(utilization, copies - 1) - LateWork(utilization, copies);
   const double slots = this->IsShortOfAdapterSlots(copy, copies - 1)
                            ? this->options.adapter_slot_gain
                            : 0;
   return slots + (per_copy > this->options.add_copy_utilization
-                      ? loss + per_copy
+                      ? loss * this->options.loss_factor
                       : loss / 4);
 }
 
@@ -327,7 +359,7 @@
         const ServiceCopy copy{service.id, {loaded.model, {}}};
         engine_utilization +=
             this->Utilization(copy) / static_cast<double>(std::max<std::size_t>(
-                                          this->CountCopies(copy, true), 1));
+                                          this->CountCopies(copy).expected, 1));
       }
       // Prefers the least utilized of the engines with free memory.
       consider({&engine, std::nullopt, group_loss + engine_utilization / 1000,
@@ -385,6 +417,7 @@
   }
   engine.pending = order;
   orders.push_back(std::move(order));
+  this->RecountCopies();
 }
 
 // Loads the models that memory was freed for.
@@ -460,6 +493,7 @@
 
 std::vector<PlannedOrder> CopyPlanner::Step() {
   this->ExpireDemandStates();
+  this->RecountCopies();
   std::vector<PlannedOrder> orders;
   for (const ServiceSpec& service : this->services) {
     this->PlanAdapters(service, orders);
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -447,13 +447,10 @@
 }
 
 std::vector<TargetDescription> TargetSelector::Targets() const {
-  const TimePoint now = this->clock.Now();
   std::vector<TargetDescription> found;
-  for (const auto& [id, target] : this->targets) {
-    if (!target.removed_at || now < *target.removed_at) {
-      found.push_back(target.description);
-    }
-  }
+  this->VisitTargets([&found](const TargetDescription& target) {
+    found.push_back(target);
+  });
   return found;
 }
 
