Wait for a busy target that responds

Change: a target that sent something within 2 s, to this entry or in answer to a poll of its load, is busy; an attempt there is given up only after 4 s of silence.

--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -74,6 +74,9 @@
   double home_hit_ratio = 0.7;
   /// Half-life of the last reported load of other entries.
   Duration load_report_half_life = std::chrono::seconds(2);
+  /// A target counts as responsive for this time after it sent something.
+  /// Longer than loads take to be polled and passed on.
+  Duration responsive_time = std::chrono::seconds(2);
   /// Inventories from the planner take precedence over those in registrations
   /// for this time.
   Duration planner_precedence = std::chrono::seconds(3);
@@ -198,6 +201,10 @@
   }
   /// Returns null for an unknown target.
   [[nodiscard]] const TargetDescription* Find(const TargetId& target) const;
+  /// Returns whether the target sent something recently, to this entry or in
+  /// answer to a poll of its load. A request without a response then most
+  /// likely waits in its queue.
+  [[nodiscard]] bool IsResponsive(const TargetId& target) const;
   /// Returns the number of this entry's requests that the target has not
   /// completed.
   [[nodiscard]] std::size_t InFlight(const TargetId& target) const;
@@ -222,6 +229,7 @@
     double others_running = 0;
     double others_waiting = 0;
     TimePoint load_reported_at;
+    std::optional<TimePoint> responded_at;
     /// Moving average of the ratio of actual to expected time to first byte.
     double latency_factor = 1;
     EventIntervalEstimator event_interval;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -35,6 +35,8 @@
 // A resumable stream continues at another target after this time without an
 // event.
 constexpr std::chrono::milliseconds kEventTimeout{1500};
+// A target that responds to others gets this time.
+constexpr std::chrono::milliseconds kMaxResponsiveSilence{4000};
 // How often it is checked whether another target can take over from a silent
 // one.
 constexpr std::chrono::milliseconds kStallCheckInterval{250};
@@ -328,10 +330,12 @@
   bool has_head = false;
   {
     UpstreamExchange& exchange = *attempt.exchange;
+    const TimePoint sent_at = this->deps.clock.Now();
     const RepeatingTimer timer(
         this->deps.timers, this->FirstByteTimeout(attempt.target),
-        kStallCheckInterval, [this, &exchange] {
-          const bool abandoned = this->TryReserveRetry(this->run_count + 1);
+        kStallCheckInterval, [this, &exchange, sent_at] {
+          const bool abandoned = this->TryReserveRetry(
+              this->run_count + 1, this->deps.clock.Now() - sent_at);
           if (abandoned) {
             exchange.Cancel();
           }
@@ -410,7 +414,9 @@
   const ForwardResult result =
       is_stream ? this->forwarder.ForwardStream(
                       *attempt.exchange, kEventTimeout,
-                      [this] { return this->TryReserveRetry(this->run_count); })
+                      [this](Duration silence) {
+                        return this->TryReserveRetry(this->run_count, silence);
+                      })
                 : this->forwarder.ForwardBuffered(*attempt.exchange);
   switch (result) {
     case ForwardResult::kDelivered:
@@ -508,8 +514,11 @@
                                             this->deps.entry_count());
 }
 
-bool RequestHandler::TryReserveRetry(std::uint32_t runs) {
-  if (!this->CanRetry(AttemptStatus::kUnknown, Reason::kNone, runs)) {
+bool RequestHandler::TryReserveRetry(std::uint32_t runs, Duration silence) {
+  const bool is_busy = silence < kMaxResponsiveSilence &&
+                       this->deps.targets.IsResponsive(this->last_target);
+  if (is_busy ||
+      !this->CanRetry(AttemptStatus::kUnknown, Reason::kNone, runs)) {
     return false;
   }
   std::vector<TargetId> tried = this->tried_targets;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -107,9 +107,11 @@
   /// budget unless nothing was sent or the retry is reserved.
   [[nodiscard]] bool AllowRetry(AttemptStatus attempt_status, Reason reason);
   /// Returns whether the current attempt, which is the request's `runs`-th run,
-  /// may be given up because another target can take over now. Reserves the
-  /// retry: a silent target that nobody can replace may still respond.
-  [[nodiscard]] bool TryReserveRetry(std::uint32_t runs);
+  /// may be given up after `silence` because another target can take over now.
+  /// Reserves the retry: a silent target that nobody can replace may still
+  /// respond. A target that responds to others is busy, and another attempt
+  /// would add to its work, so it gets more time.
+  [[nodiscard]] bool TryReserveRetry(std::uint32_t runs, Duration silence);
   /// Sends the final response after the last attempt.
   bool Finish(AttemptStatus attempt_status, Reason reason);
   bool RefuseNotReady();
--- a/src/gateway/response_forwarder.cc
+++ b/src/gateway/response_forwarder.cc
@@ -45,7 +45,7 @@
 ForwardResult ResponseForwarder::ForwardStream(
     UpstreamExchange& exchange,
     Duration idle_timeout,
-    const std::function<bool()>& may_abandon) {
+    const AbandonCheck& may_abandon) {
   if (!this->started) {
     this->stream_head = this->BuildHead(exchange.GetHead()) +
                         "Transfer-Encoding: chunked\r\n\r\n";
@@ -53,11 +53,11 @@
   EventSplitter splitter;
   std::string out;
   this->last_target_event_at.reset();
-  TimePoint timeout_at = this->clock.Now() + idle_timeout;
+  TimePoint last_complete_at = this->clock.Now();
   while (true) {
     std::string_view data;
     const BodyReadResult part = this->ReadBodyPart(
-        exchange, timeout_at - this->clock.Now(), may_abandon, data);
+        exchange, last_complete_at, idle_timeout, may_abandon, data);
     if (part == BodyReadResult::kError) {
       return ForwardResult::kIncomplete;
     }
@@ -71,7 +71,7 @@
         return ForwardResult::kCallerDisconnected;
       }
       // Only complete events are progress, not single bytes of one.
-      timeout_at = this->clock.Now() + idle_timeout;
+      last_complete_at = this->clock.Now();
     }
     if (splitter.PendingBytes() > kMaxEventBytes) {
       return ForwardResult::kIncomplete;
@@ -88,19 +88,21 @@
   }
 }
 
-BodyReadResult ResponseForwarder::ReadBodyPart(
-    UpstreamExchange& exchange,
-    Duration max_wait,
-    const std::function<bool()>& may_abandon,
-    std::string_view& data) {
-  const RepeatingTimer timer(this->timers, max_wait, kStallCheckInterval,
-                             [&exchange, &may_abandon] {
-                               const bool abandoned = may_abandon();
-                               if (abandoned) {
-                                 exchange.Cancel();
-                               }
-                               return abandoned;
-                             });
+BodyReadResult ResponseForwarder::ReadBodyPart(UpstreamExchange& exchange,
+                                               TimePoint last_event_at,
+                                               Duration idle_timeout,
+                                               const AbandonCheck& may_abandon,
+                                               std::string_view& data) {
+  const Duration left = last_event_at + idle_timeout - this->clock.Now();
+  const RepeatingTimer timer(
+      this->timers, left, kStallCheckInterval,
+      [this, &exchange, &may_abandon, last_event_at] {
+        const bool abandoned = may_abandon(this->clock.Now() - last_event_at);
+        if (abandoned) {
+          exchange.Cancel();
+        }
+        return abandoned;
+      });
   const BodyReadResult part = exchange.ReadBody(data);
   if (part != BodyReadResult::kData) {
     data = {};
--- a/src/gateway/response_forwarder.h
+++ b/src/gateway/response_forwarder.h
@@ -40,13 +40,16 @@
                     std::optional<std::uint64_t> last_event,
                     std::function<void(Duration)> on_event_interval);
 
+  /// Decides whether a stream may be given up that had no complete event for
+  /// this time.
+  using AbandonCheck = std::function<bool(Duration)>;
+
   /// Forwards events as they arrive, up to the end of the stream. If the target
   /// sends no complete event for `idle_timeout`, the stream is given up as soon
   /// as `may_abandon` returns true; until then, a slow target may go on.
-  [[nodiscard]] ForwardResult ForwardStream(
-      UpstreamExchange& exchange,
-      Duration idle_timeout,
-      const std::function<bool()>& may_abandon);
+  [[nodiscard]] ForwardResult ForwardStream(UpstreamExchange& exchange,
+                                            Duration idle_timeout,
+                                            const AbandonCheck& may_abandon);
   /// Forwards a response after all of it has arrived.
   [[nodiscard]] ForwardResult ForwardBuffered(UpstreamExchange& exchange);
 
@@ -80,11 +83,11 @@
   };
 
   [[nodiscard]] std::string BuildHead(const UpstreamExchange::Head& head) const;
-  [[nodiscard]] BodyReadResult ReadBodyPart(
-      UpstreamExchange& exchange,
-      Duration max_wait,
-      const std::function<bool()>& may_abandon,
-      std::string_view& data);
+  [[nodiscard]] BodyReadResult ReadBodyPart(UpstreamExchange& exchange,
+                                            TimePoint last_event_at,
+                                            Duration idle_timeout,
+                                            const AbandonCheck& may_abandon,
+                                            std::string_view& data);
   /// Appends the complete events of `splitter` that the caller lacks to `out`;
   /// returns false if an event is missing.
   [[nodiscard]] bool CollectEvents(EventSplitter& splitter, std::string& out);
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -46,6 +46,7 @@
     known.health = TargetHealth(this->options.health);
     known.prefixes = PrefixCacheEstimate(this->options.prefixes);
     known.planner_inventory_at.reset();
+    known.responded_at.reset();
     known.latency_factor = 1;
   }
   Inventory inventory = std::move(known.description.inventory);
@@ -365,6 +366,7 @@
     return;
   }
   KnownTarget& target = found->second;
+  target.responded_at = this->clock.Now();
   target.pending_prompt_tokens -= std::min<std::uint64_t>(
       target.pending_prompt_tokens, sent->second.new_tokens);
   const Duration actual_ttfb = this->clock.Now() - sent->second.sent_at;
@@ -385,6 +387,7 @@
   const auto found = this->targets.find(target);
   if (found != this->targets.end()) {
     found->second.event_interval.OnEvent(interval, this->clock.Now());
+    found->second.responded_at = this->clock.Now();
   }
 }
 
@@ -400,6 +403,14 @@
   known.others_waiting = std::min<double>(others, load.waiting);
   known.others_running = others;
   known.load_reported_at = this->clock.Now();
+  known.responded_at = known.load_reported_at;
+}
+
+bool TargetSelector::IsResponsive(const TargetId& target) const {
+  const auto found = this->targets.find(target);
+  return found != this->targets.end() && found->second.responded_at &&
+         this->clock.Now() - *found->second.responded_at <
+             this->options.responsive_time;
 }
 
 void TargetSelector::OnEnd(AttemptId attempt, AttemptOutcome outcome) {
@@ -448,9 +459,8 @@
 
 std::vector<TargetDescription> TargetSelector::Targets() const {
   std::vector<TargetDescription> found;
-  this->VisitTargets([&found](const TargetDescription& target) {
-    found.push_back(target);
-  });
+  this->VisitTargets(
+      [&found](const TargetDescription& target) { found.push_back(target); });
   return found;
 }
 
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -580,6 +580,36 @@
   BOOST_TEST(one.Requests().size() + two.Requests().size() == 1U);
 }
 
+// All targets of a burst have long queues but respond to polls. Each request
+// was sent again after 1.5 s, which doubled the work of the targets.
+BOOST_FIXTURE_TEST_CASE(WaitsForABusyTargetThatResponds, Fixture) {
+  const auto script = [](RawConnection& connection,
+                         const std::string& request) {
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(2600));
+    connection.Write(StreamHead(RequestIdOf(request)) + Chunk(Event(1)) +
+                     "0\r\n\r\n");
+    return true;
+  };
+  ScriptedTarget one(script);
+  ScriptedTarget two(script);
+  this->AddTarget("one", one);
+  this->AddTarget("two", two);
+  bool ended = false;
+  Loop().Spawn([this, &ended] {
+    while (!ended) {
+      this->targets.OnLoadReport(TargetId("one"), {4, 9});
+      this->targets.OnLoadReport(TargetId("two"), {4, 9});
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+    }
+    ended = false;
+  });
+  const std::string response = this->Send("POST /stream/1", "", "x");
+  BOOST_TEST(response.ends_with("0\r\n\r\n"), response);
+  BOOST_TEST(one.Requests().size() + two.Requests().size() == 1U);
+  ended = true;
+  BOOST_TEST(Eventually([&] { return !ended; }));
+}
+
 // A stream that is slow, but sends whole events, is not cut.
 BOOST_FIXTURE_TEST_CASE(KeepsASlowStream, Fixture) {
   ScriptedTarget target(
