--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/verb.hpp>
 
 #include "net/log_line.h"
+#include "pimentospar/routing/silence_policy.h"
 
 namespace pimentospar {
 
@@ -35,8 +36,6 @@
 // A resumable stream continues at another target after this time without an
 // event.
 constexpr std::chrono::milliseconds kEventTimeout{1500};
-// A target that responds to others gets this time.
-constexpr std::chrono::milliseconds kMaxResponsiveSilence{4000};
 // How often it is checked whether another target can take over from a silent
 // one.
 constexpr std::chrono::milliseconds kStallCheckInterval{250};
@@ -515,9 +514,8 @@
 }
 
 bool RequestHandler::TryReserveRetry(std::uint32_t runs, Duration silence) {
-  const bool is_busy = silence < kMaxResponsiveSilence &&
-                       this->deps.targets.IsResponsive(this->last_target);
-  if (is_busy ||
+  const bool is_responsive = this->deps.targets.IsResponsive(this->last_target);
+  if (!MayGiveUpAfter(silence, is_responsive) ||
       !this->CanRetry(AttemptStatus::kUnknown, Reason::kNone, runs)) {
     return false;
   }
