--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -128,6 +128,11 @@
     return this->RemainingTime() <= Duration(0);
   }
 
+  static constexpr std::uint32_t kMaxSends = 5;
+  /// No target is selected for a request that has this much time left or less,
+  /// because no response would arrive in time.
+  static constexpr std::chrono::milliseconds kMinAttemptTime{20};
+
   RequestDependencies& deps;
   CallerRequest& request;
   CallerChannel& channel;
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -108,18 +108,6 @@
   }
 }
 
-bool CopyPlanner::HasCopiesOnlyInGroupOf(const EngineState& engine,
-                                         const ModelId& model) const {
-  const CopyCounts counts =
-      this->CountCopies(ServiceCopy{engine.service, {model, {}}});
-  const bool is_for_short = this->short_prompt_engines.contains(engine.id);
-  const std::size_t in_group =
-      is_for_short ? counts.at_short_prompt_engines : counts.at_other_engines;
-  const std::size_t in_other_group =
-      is_for_short ? counts.at_other_engines : counts.at_short_prompt_engines;
-  return in_group > 0 && in_other_group == 0;
-}
-
 CopyPlanner::CopyDemandState& CopyPlanner::DecayedDemandState(
     const ServiceCopy& copy) {
   const TimePoint now = this->clock.Now();
@@ -189,49 +177,6 @@
          Seconds(this->options.demand_time_constant);
 }
 
-CopyPlanner::CopyCounts CopyPlanner::CountCopies(
-    const ServiceCopy& model) const {
-  const auto found =
-      this->copy_counts.find({model.service, {model.copy.model, {}}});
-  return found == this->copy_counts.end() ? CopyCounts{} : found->second;
-}
-
-void CopyPlanner::RecountCopies() {
-  this->copy_counts.clear();
-  for (const auto& [id, engine] : this->engines) {
-    if (!engine.usable) {
-      continue;
-    }
-    const auto counts_of = [&](const ModelId& model) -> CopyCounts& {
-      return this->copy_counts[{engine.service, {model, {}}}];
-    };
-    std::set<ModelId> expected;
-    for (const LoadedModel& loaded : engine.models) {
-      CopyCounts& counts = counts_of(loaded.model);
-      ++(this->short_prompt_engines.contains(id)
-             ? counts.at_short_prompt_engines
-             : counts.at_other_engines);
-      const bool is_unloading =
-          engine.pending && engine.pending->kind == OrderKind::kUnload &&
-          engine.pending->copy == CopyRef{loaded.model, {}};
-      if (!is_unloading) {
-        ++counts.ready;
-        expected.insert(loaded.model);
-      }
-    }
-    if (engine.pending && engine.pending->kind == OrderKind::kLoad) {
-      expected.insert(engine.pending->copy.model);
-    }
-    if (engine.reserved_for &&
-        this->IsReservedFor(engine, *engine.reserved_for)) {
-      expected.insert(*engine.reserved_for);
-    }
-    for (const ModelId& model : expected) {
-      ++counts_of(model).expected;
-    }
-  }
-}
-
 double CopyPlanner::FirstCopyGain(CopyDemandState& demand_state,
                                   double utilization) const {
   const TimePoint now = this->clock.Now();
