Go back to the former gain of a further copy

Cause: the gain by late work, taken with the counts of copies, did not serve callers better. Change: the former gain and loss; the counts stay.

--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -93,9 +93,6 @@
   double add_copy_slot_share = 0.9;
   /// Gain of a copy that adds needed adapter slots.
   double adapter_slot_gain = 0.1;
-  /// Factor on the loss that a load causes to the callers of other copies, so
-  /// that copies do not alternate between models with nearly equal demand.
-  double loss_factor = 1.5;
   /// Gain of the first copy of a model in addition to its utilization.
   double first_copy_gain = 0.2;
   /// Growth of that gain for each second without a copy: a rarely used model
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -17,23 +17,10 @@
 constexpr double kSameGroupLoss = 0.05;
 // Loss of unloading any copy, so that free memory is preferred.
 constexpr double kMinUnloadLoss = 0.01;
-// An added copy serves at most the work of one engine, which counts twice, as
-// that of a first copy does.
-constexpr double kMaxCopyGain = 2;
 // Demand that has decayed below this many requests counts as none.
 constexpr double kMinRequests = 0.05;
 constexpr std::chrono::seconds kDemandRetention{60};
 
-// Returns the engine time of requests that are served late if a model's work
-// is spread evenly over its copies. The share of late requests grows with the
-// square of the utilization, and in proportion to it for overloaded copies.
-double LateWork(double utilization, double copies) {
-  const double per_copy = utilization / copies;
-  const double late_share =
-      per_copy <= 1 ? per_copy * per_copy : 2 * per_copy - 1;
-  return utilization * late_share;
-}
-
 // Returns the memory to keep free for the adapter slots of an engine.
 Bytes AdapterMemory(const EngineSpec& spec) {
   Bytes largest = 0;
@@ -213,9 +200,7 @@
     const double per_copy = utilization / copies;
     const bool needs_slots = this->IsShortOfAdapterSlots(copy, copies);
     if (per_copy > this->options.add_copy_utilization || needs_slots) {
-      const double gain =
-          std::min(kMaxCopyGain, LateWork(utilization, copies) -
-                                     LateWork(utilization, copies + 1));
+      const double gain = per_copy - utilization / (copies + 1);
       needs.push_back(
           {copy, gain + (needs_slots ? this->options.adapter_slot_gain : 0),
            OrderReason::kOverload});
@@ -242,13 +227,12 @@
                            : this->options.idle_copy_value;
   }
   const double per_copy = utilization / (copies - 1);
-  const double loss =
-      LateWork(utilization, copies - 1) - LateWork(utilization, copies);
+  const double loss = per_copy - utilization / copies;
   const double slots = this->IsShortOfAdapterSlots(copy, copies - 1)
                            ? this->options.adapter_slot_gain
                            : 0;
   return slots + (per_copy > this->options.add_copy_utilization
-                      ? loss * this->options.loss_factor
+                      ? loss + per_copy
                       : loss / 4);
 }
 
