Test registrations of entries and what the holder sends

Cause: the new registration and the number of entries in the holder's messages had no test of their own. Change: entry_message_test.

--- a/src/gateway/entry_registration.h
+++ b/src/gateway/entry_registration.h
@@ -19,8 +19,7 @@
   bool operator==(const EntryRegistration&) const = default;
 };
 
-/// Returns the address and the cores, in thousandths,
-/// separated by a space.
+/// Returns the address, a space and the thousandths of a core.
 [[nodiscard]] std::string Encode(const EntryRegistration& registration);
 /// Returns nothing if the text does not start with an address. The cores may be
 /// missing, as in the registrations of earlier versions.
--- /dev/null
+++ b/test/gateway/entry_message_test.cc
@@ -0,0 +1,58 @@
+#define BOOST_TEST_MODULE entry_message
+#include "gateway/entry_message.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/entry_registration.h"
+
+namespace pimentospar {
+namespace {
+
+BOOST_AUTO_TEST_CASE(RegistrationKeepsAddressAndCores) {
+  const EntryRegistration registration{{"10.0.0.1", 7380}, 0.19};
+  const auto decoded = DecodeEntryRegistration(Encode(registration));
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST((*decoded == registration));
+}
+
+// Entries of earlier versions register their address only.
+BOOST_AUTO_TEST_CASE(RegistrationMayLackTheCores) {
+  const auto decoded = DecodeEntryRegistration("10.0.0.1:7380");
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST(decoded->address.port == 7380);
+  BOOST_TEST(decoded->processor_cores == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(RejectsWhatIsNoRegistration) {
+  for (const std::string_view text :
+       {"", " ", "10.0.0.1", "10.0.0.1:7380 x", "x:7380 190"}) {
+    BOOST_TEST(!DecodeEntryRegistration(text), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MessageKeepsWhatTheHolderSends) {
+  EntryMessage message;
+  message.host = HostId("h");
+  message.instance = InstanceId{5};
+  message.sequence = 6;
+  message.lease = LogOffset{7};
+  message.entry_count = 103;
+  message.registration_age = std::chrono::milliseconds(250);
+  message.loads = {{TargetId("t"), {3, 4}}};
+  message.inventories = {{TargetId("t"), {1, 2, {{ModelId("m"), {}}}}}};
+  const std::string bytes = Encode(message);
+  const auto decoded = DecodeEntryMessage(bytes);
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST(decoded->host.value == "h");
+  BOOST_TEST((decoded->lease == message.lease));
+  BOOST_TEST(decoded->entry_count == 103U);
+  BOOST_TEST((decoded->registration_age == message.registration_age));
+  BOOST_REQUIRE(decoded->loads.size() == 1U);
+  BOOST_TEST(decoded->loads[0].load.waiting == 4U);
+  BOOST_REQUIRE(decoded->inventories.size() == 1U);
+  BOOST_TEST(
+      (decoded->inventories[0].inventory == message.inventories[0].inventory));
+}
+
+}  // namespace
+}  // namespace pimentospar
