Repeat a call that hangs at a busy target as before

Cause: the patience with a target that responds to others also held calls of plain services, whose repetition reads no prompt: a call that hung was repeated after 2 to 4 s in place of 0.3 s. Change: only streams wait for a busy target. Measured: RepeatsACallThatHangsAtABusyTarget fails without it (over 1.5 s) and passes.

--- a/src/gateway/request_handler_retry.cc
+++ b/src/gateway/request_handler_retry.cc
@@ -48,7 +48,9 @@
 }
 
 bool RequestHandler::TryReserveRetry(std::uint32_t runs, Duration silence) {
-  const bool is_responsive = this->deps.targets.IsResponsive(this->last_target);
+  // A call reads no prompt, so another attempt costs little.
+  const bool is_responsive = this->route->kind == RequestKind::kStream &&
+                             this->deps.targets.IsResponsive(this->last_target);
   if (!MayGiveUpAfter(silence, is_responsive) ||
       !this->CanRetry(AttemptStatus::kUnknown, Reason::kNone, runs)) {
     return false;
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -610,6 +610,24 @@
   BOOST_TEST(Eventually([&] { return !ended; }));
 }
 
+// A call that hangs at a target which responds to others is soon repeated.
+BOOST_FIXTURE_TEST_CASE(RepeatsACallThatHangsAtABusyTarget, Fixture) {
+  ScriptedTarget hanging([](RawConnection& connection, const std::string&) {
+    (void)connection.ReadUntil("never");
+    return false;
+  });
+  ScriptedTarget good(Echo);
+  this->AddTarget("hanging", hanging);
+  this->AddTarget("good", good);
+  for (int i = 0; i < 4; ++i) {
+    this->targets.OnLoadReport(TargetId("hanging"), {0, 0});
+    const TimePoint start = this->clock.Now();
+    BOOST_TEST(this->Send("GET /safe/1").starts_with("HTTP/1.1 200"));
+    BOOST_TEST((this->clock.Now() - start < std::chrono::milliseconds(1500)));
+  }
+  BOOST_TEST(!hanging.Requests().empty());
+}
+
 // A stream that is slow, but sends whole events, is not cut.
 BOOST_FIXTURE_TEST_CASE(KeepsASlowStream, Fixture) {
   ScriptedTarget target(
