--- a/src/planning/copy_planner_counts.cc
+++ b/src/planning/copy_planner_counts.cc
@@ -16,8 +16,9 @@
     if (!engine.usable) {
       continue;
     }
-    const auto counts_of = [&](const ModelId& model) -> CopyCounts& {
-      return this->copy_counts[{engine.service, {model, {}}}];
+    const ServiceId& service = engine.service;
+    const auto counts_of = [ this, &service ](const ModelId& model) -> auto& {
+      return this->copy_counts[{service, {model, {}}}];
     };
     std::set<ModelId> expected;
     for (const LoadedModel& loaded : engine.models) {
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -318,7 +318,8 @@
  public:
   // Sends `part` again and again until the connection is closed, at most
   // `kMaxSentBytes`.
-  ScriptedTarget::Script Repeat(std::string head, std::string part) {
+  ScriptedTarget::Script Repeat(const std::string& head,
+                                const std::string& part) {
     return [this, head, part](RawConnection& connection,
                               const std::string& request) {
       std::string text = head;
