--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -21,9 +21,9 @@
 // A request waits for the load of a copy at most for its own time limit divided
 // by this.
 constexpr int kLoadWaitDivisor = 2;
-// A repeatable call or stream is retried at another target, if there is one, if
-// no response begins within this time, or within a multiple of the expected
-// time if that is longer.
+// If no response begins within this time, or within a multiple of the expected
+// time if that is longer, a repeatable call or stream is retried at another
+// target, provided there is one.
 constexpr std::chrono::milliseconds kCallFirstByteTimeout{300};
 constexpr std::chrono::milliseconds kStreamFirstByteTimeout{1500};
 constexpr int kFirstByteTimeoutFactor = 4;
