Compare with the expectation from before the call in the response test

Cause: the property compared ContinueWith(kSecond) with an expression that reads the assembler's state, in one expression. The assembler is right. Change: the expectation is computed before the call; the property is as strict as before.

--- a/test/response_test.cc
+++ b/test/response_test.cc
@@ -34,8 +34,9 @@
                              : step < 2 * kChunks ? kFirst
                                                   : kSecond;
     if (step == 4 * kChunks - 1) {
-      RC_ASSERT(assembler.ContinueWith(kSecond) ==
-                (!assembler.IsComplete() && assembler.Current() == kFirst));
+      const bool may_continue =
+          !assembler.IsComplete() && assembler.Current() == kFirst;
+      RC_ASSERT(assembler.ContinueWith(kSecond) == may_continue);
       continue;
     }
     const std::string text =
