Log what was in flight when an attempt fails, and write down the timeline of the crashing prompt part

Missing: attempt_failed did not tell what the request held, how the connection ended or whether the target had begun to answer, so that 'retries', 'nothing is remembered between requests' and 'load' could not be told apart. Change: fields parts, error, events, sent_ms and started on attempt_failed, parts on request_ended; no decision changes.

--- a/include/pimentospar/quarantine.h
+++ b/include/pimentospar/quarantine.h
@@ -35,6 +35,10 @@
                                         const OperationId& operation,
                                         std::string_view body);
 
+/// Returns the fingerprint of one part of a prompt, whatever the request holds
+/// besides.
+[[nodiscard]] Fingerprint FingerprintOfPromptPart(std::string_view part_id);
+
 /// Limits and delays of a `Quarantine`.
 struct QuarantineOptions {
   std::size_t max_fingerprints = 4096;
--- a/include/pimentospar/types.h
+++ b/include/pimentospar/types.h
@@ -54,8 +54,8 @@
 using ConfigVersion = detail::NumberId<struct ConfigVersionTag>;
 /// Log offset of the record that granted a process ownership of a resource.
 using FencingToken = detail::NumberId<struct FencingTag>;
-/// Hash of the owner, the model or service operation, and the canonical body of
-/// a request.
+/// Hash of a request, of its owner, model or service operation and canonical
+/// body, or of one part of a prompt.
 using Fingerprint = detail::NumberId<struct FingerprintTag>;
 /// Random number that a process draws at its start, so that it differs from the
 /// id of the previous instance.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -319,11 +319,13 @@
 }
 
 RequestHandler::AttemptStatus RequestHandler::SendAndReceive(Attempt& attempt) {
+  attempt.sent_at = this->deps.clock.Now();
+  attempt.earlier_events = this->forwarder.EventCount();
   attempt.exchange->Send(this->BuildRequestHead(attempt), this->body);
   bool has_head = false;
   {
     UpstreamExchange& exchange = *attempt.exchange;
-    const TimePoint sent_at = this->deps.clock.Now();
+    const TimePoint sent_at = attempt.sent_at;
     const RepeatingTimer timer(
         this->deps.timers, this->FirstByteTimeout(attempt.target),
         kStallCheckInterval, [this, &exchange, sent_at] {
@@ -462,13 +464,7 @@
   this->deps.targets.OnEnd(attempt.id,
                            ToAttemptOutcome(attempt_status, attempt.reason));
   if (attempt_status != AttemptStatus::kDelivered) {
-    LogInfo("attempt_failed",
-            {{"request", this->meta.id},
-             {"target", attempt.target.target.value},
-             {"reason", CodeOf(attempt.reason)},
-             {"expected_ms", attempt.target.expected_ttfb},
-             {"left_ms", this->RemainingTime()},
-             {"config", this->table->Config().version.value}});
+    this->LogFailedAttempt(attempt);
   }
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -74,6 +74,9 @@
     std::unique_ptr<UpstreamExchange> exchange;
     ResponseMeta meta;
     Reason reason = Reason::kNone;
+    TimePoint sent_at{};
+    /// Number of events that earlier attempts have forwarded.
+    std::uint32_t earlier_events = 0;
   };
 
   [[nodiscard]] bool FindRoute();
@@ -98,6 +101,7 @@
       AttemptStatus attempt_status,
       Reason reason);
   void OnAttemptEnd(Attempt& attempt, AttemptStatus attempt_status);
+  void LogFailedAttempt(const Attempt& attempt) const;
   /// Returns whether the route and the time left allow another attempt after
   /// `runs` runs.
   [[nodiscard]] bool CanRetry(AttemptStatus attempt_status,
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -1,4 +1,7 @@
+#include <array>
+#include <charconv>
 #include <cstdlib>
+#include <span>
 
 #include "gateway/request_handler.h"
 #include "net/log_line.h"
@@ -28,6 +31,21 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 
+// Returns the fingerprints in hexadecimal, separated by commas.
+std::string JoinFingerprints(std::span<const Fingerprint> fingerprints) {
+  std::string text;
+  for (const Fingerprint fingerprint : fingerprints) {
+    if (!text.empty()) {
+      text += ',';
+    }
+    std::array<char, 16> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                   fingerprint.value, 16);
+    text.append(digits.data(), end.ptr);
+  }
+  return text;
+}
+
 }  // namespace
 
 bool RequestHandler::RefuseNotReady() {
@@ -122,6 +140,23 @@
   return this->channel.SendResponse(head, text);
 }
 
+void RequestHandler::LogFailedAttempt(const Attempt& attempt) const {
+  const bool was_sent = attempt.exchange != nullptr;
+  LogInfo("attempt_failed",
+          {{"request", this->meta.id},
+           {"target", attempt.target.target.value},
+           {"started", attempt.target.started_ms},
+           {"reason", CodeOf(attempt.reason)},
+           {"error", was_sent ? attempt.exchange->ReadError().message() : ""},
+           {"sent_ms",
+            was_sent ? this->deps.clock.Now() - attempt.sent_at : Duration(0)},
+           {"events", this->forwarder.EventCount() - attempt.earlier_events},
+           {"parts", JoinFingerprints(this->meta.shared_parts)},
+           {"expected_ms", attempt.target.expected_ttfb},
+           {"left_ms", this->RemainingTime()},
+           {"config", this->table->Config().version.value}});
+}
+
 void RequestHandler::LogOutcome(std::string_view outcome,
                                 unsigned status,
                                 Reason reason) {
@@ -151,6 +186,7 @@
            {"service", this->service.value},
            {"model", PrefixScope(this->meta.copy).value},
            {"target", this->last_target.value},
+           {"parts", JoinFingerprints(this->meta.shared_parts)},
            {"sends", this->send_count},
            {"runs", this->run_count},
            {"ms", took},
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -143,6 +143,7 @@
   std::shared_ptr<const std::string> body;
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::array<char, kBodyBufferBytes> bytes{};
+  error_code read_error;
   bool is_sent = false;
   bool cancelled = false;
   bool complete = false;
@@ -198,6 +199,7 @@
                               state.connection->buffer, *state.parser,
                               std::move(handler));
     });
+    state.read_error = read.error;
     if (!read.IsGood()) {
       return false;
     }
@@ -224,6 +226,7 @@
                             parser, std::move(handler));
     });
     if (read.error && read.error != http::error::need_buffer) {
+      state.read_error = read.error;
       return BodyReadResult::kError;
     }
     const std::size_t size = state.bytes.size() - parser.get().body().size;
@@ -271,6 +274,10 @@
   return part == BodyReadResult::kEnd;
 }
 
+error_code UpstreamExchange::ReadError() const {
+  return this->state->read_error;
+}
+
 void UpstreamExchange::Cancel() {
   this->state->cancelled = true;
   if (this->state->connection != nullptr) {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -150,6 +150,8 @@
   /// Reads and discards the rest of the body; returns false if it ends early or
   /// is longer than any body that is kept.
   [[nodiscard]] bool DiscardRemainingBody();
+  /// Returns why the last read failed; no error if it did not.
+  [[nodiscard]] error_code ReadError() const;
   /// Closes the connection; pending operations fail.
   void Cancel();
   /// Returns the connection to the pool if it can be reused.
--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -97,6 +97,13 @@
                    body);
 }
 
+Fingerprint FingerprintOfPromptPart(std::string_view part_id) {
+  std::string text;
+  AppendWithLength("prompt part", text);
+  AppendWithLength(part_id, text);
+  return Fingerprint{Hash64(text)};
+}
+
 Quarantine::Quarantine(const Clock& clock, const QuarantineOptions& options)
     : clock(clock), options(options) {}
 
