--- /dev/null
+++ b/test/gateway/crashing_request_test.cc
@@ -0,0 +1,145 @@
+#define BOOST_TEST_MODULE crashing_request
+#include <boost/test/unit_test.hpp>
+
+#include "fleet.h"
+
+// Requests that crash each target that begins to respond to them.
+namespace pimentospar {
+namespace {
+
+using std::chrono::milliseconds;
+using test::Contains;
+using test::Eventually;
+using test::Fleet;
+using test::RawConnection;
+using test::ScriptedTarget;
+
+constexpr std::string_view kDeadlyPart = "dead:100";
+constexpr std::string_view kConfig =
+    R"({"version":1,"services":[{"name":"s"}],"routes":[)"
+    R"({"name":"chat","host":"a.example","path_prefix":"/chat/",)"
+    R"("kind":"stream","resumable":true,"service":"s","attempts":2,)"
+    R"("timeout_ms":4000,"goal_ms":1000}]})";
+
+std::string RequestIdOf(const std::string& request) {
+  const std::string name = "X-Pimentospar-Request-Id: ";
+  const auto at = request.find(name) + name.size();
+  return request.substr(at, request.find('\r', at) - at);
+}
+
+std::string CompleteStream(const std::string& id) {
+  const std::string body = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
+  return "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " + id +
+         "\r\nX-Pimentospar-Response-Stamp: s\r\nContent-Type: "
+         "text/event-stream\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A target that crashes when it begins to respond to a request with the deadly
+// part.
+class FragileTarget {
+ public:
+  [[nodiscard]] std::string Address() const { return this->target.Address(); }
+  [[nodiscard]] bool HasCrashed() const { return this->crashed; }
+
+ private:
+  bool Respond(RawConnection& connection, const std::string& request) {
+    if (this->crashed) {
+      return false;
+    }
+    if (Contains(request, kDeadlyPart)) {
+      this->crashed = true;
+      this->target.Crash();
+      return false;
+    }
+    connection.Write(CompleteStream(RequestIdOf(request)));
+    return true;
+  }
+
+  bool crashed = false;
+  ScriptedTarget target{
+      [this](RawConnection& connection, const std::string& request) {
+        return this->Respond(connection, request);
+      }};
+};
+
+// Entries before targets that crash.
+class FragileFleet {
+ public:
+  FragileFleet(std::size_t entries, std::size_t target_count)
+      : fleet(Fleet::Create()) {
+    this->fleet.SetConfig(std::string(kConfig));
+    for (std::size_t i = 0; i < target_count; ++i) {
+      this->AddTarget();
+    }
+    for (std::size_t i = 0; i < entries; ++i) {
+      this->AddEntry();
+    }
+  }
+
+  void AddTarget() {
+    this->targets.push_back(new FragileTarget);
+    this->fleet.AddTarget("i-" + std::to_string(this->targets.size()), "s",
+                          this->targets.back()->Address());
+  }
+
+  void AddEntry() {
+    const std::string host = "h" + std::to_string(this->fleet.gateways.size());
+    const Gateway& entry = this->fleet.Start(host, 0.2);
+    BOOST_TEST(Eventually([&] { return entry.IsReady(); }));
+  }
+
+  /// Sends a request with its own last part, and returns the response.
+  std::string Send(std::size_t entry, const std::string& shared_parts) {
+    const std::string id = std::to_string(++this->requests);
+    RawConnection caller(this->fleet.gateways.at(entry)->CallerAddress());
+    caller.Write("POST /chat/" + id +
+                 " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+                 "X-Pimentospar-Request-Id: " +
+                 id + "\r\nX-Pimentospar-Prompt-Prefix: " + shared_parts +
+                 ",own" + id +
+                 ":10\r\nX-Pimentospar-Deadline-Ms: 4000\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    return caller.ReadAll();
+  }
+
+  [[nodiscard]] std::size_t CrashedTargets() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->targets, &FragileTarget::HasCrashed));
+  }
+
+  Fleet& fleet;
+
+ private:
+  // Their connections are served until the program ends.
+  std::vector<FragileTarget*> targets;
+  std::size_t requests = 0;
+};
+
+std::string DeadlyParts(std::size_t request) {
+  return "first:6000,subject" + std::to_string(request) + ":300," +
+         std::string(kDeadlyPart);
+}
+
+// Each request was different, so each crashed two targets until none was left.
+BOOST_AUTO_TEST_CASE(PromptPartCrashesTargetAfterTarget) {
+  constexpr std::size_t kTargets = 12;
+  constexpr std::size_t kMaxCrashes = 5;
+  FragileFleet fleet(2, kTargets);
+  std::size_t sound_responses = 0;
+  std::string last_response;
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    const std::size_t entry = i % 2;
+    last_response = fleet.Send(entry, DeadlyParts(i));
+    const std::string sound = fleet.Send(
+        1 - entry, "first:6000,subject" + std::to_string(i) + ":300");
+    sound_responses += Contains(sound, "id: 2") ? 1 : 0;
+    boost::this_fiber::sleep_for(milliseconds(500));
+  }
+  BOOST_TEST(fleet.CrashedTargets() <= kMaxCrashes);
+  BOOST_TEST(sound_responses == kTargets);
+  BOOST_TEST(last_response.starts_with("HTTP/1.1 503"));
+}
+
+}  // namespace
+}  // namespace pimentospar
--- a/test/gateway/fleet_start_test.cc
+++ b/test/gateway/fleet_start_test.cc
@@ -1,10 +1,7 @@
 #define BOOST_TEST_MODULE fleet_start
 #include <boost/test/unit_test.hpp>
 
-#include "gateway/gateway.h"
-#include "platform/platform_headers.h"
-#include "platform/platform_registry_format.h"
-#include "support.h"
+#include "fleet.h"
 
 // A fleet of entries that start together without targets or configuration.
 namespace pimentospar {
@@ -12,102 +9,7 @@
 
 using std::chrono::milliseconds;
 using test::Eventually;
-using test::Loop;
-using test::MemoryLog;
-
-class UnreachableTargets final : public TargetControl {
- public:
-  OrderAnswer Send(const TargetDescription&,
-                   const PlannedOrder&,
-                   std::uint64_t,
-                   FencingToken) override {
-    return OrderAnswer::kNoAnswer;
-  }
-  std::optional<TargetState> FetchState(const TargetDescription&) override {
-    return std::nullopt;
-  }
-};
-
-// The view that one entry has of the shared log; it can be cut off from it.
-class CuttableLog final : public SharedLog {
- public:
-  explicit CuttableLog(MemoryLog& log) : log(log) {}
-
-  LogStatus Append(std::string_view stream, std::string_view record) override {
-    return this->cut ? LogStatus::kUnknown : this->log.Append(stream, record);
-  }
-  LogStatus AppendKeyed(std::string_view stream,
-                        std::string_view key,
-                        std::optional<std::string_view> value) override {
-    return this->cut ? LogStatus::kUnknown
-                     : this->log.AppendKeyed(stream, key, value);
-  }
-  LogRead Read(std::string_view stream,
-               LogOffset from,
-               milliseconds wait) override {
-    return this->cut ? LogRead{} : this->log.Read(stream, from, wait);
-  }
-  KeyedPage ReadLatestValues(std::string_view stream,
-                             std::string_view after) override {
-    return this->cut ? KeyedPage{} : this->log.ReadLatestValues(stream, after);
-  }
-  std::optional<KeyedItem> ParseKeyedRecord(std::string_view record,
-                                            LogOffset offset) const override {
-    return this->log.ParseKeyedRecord(record, offset);
-  }
-
-  bool cut = false;
-
- private:
-  MemoryLog& log;
-};
-
-// Outlives the test case, since the fibers run until the program ends.
-struct Fleet {
-  static Fleet& Create() {
-    static std::vector<std::unique_ptr<Fleet>> all;
-    all.push_back(std::make_unique<Fleet>());
-    return *all.back();
-  }
-
-  Gateway& Start(const std::string& host, double cores) {
-    const auto loopback = boost::asio::ip::make_address("127.0.0.1");
-    GatewaySettings settings;
-    settings.host = HostId(host);
-    settings.region = RegionId("r");
-    settings.data_centre = DataCentreId("d");
-    settings.caller_address = {loopback, 0};
-    settings.ready_address = {loopback, 0};
-    settings.operator_address = {loopback, 0};
-    settings.entry_address = {loopback, 0};
-    settings.processor_cores = cores;
-    settings.targets_check_leases = true;
-    this->views.push_back(std::make_unique<CuttableLog>(this->log));
-    this->gateways.push_back(std::make_unique<Gateway>(
-        Loop(), this->timers, this->pool, this->clock, this->random, settings,
-        GatewayPlatform{*this->views.back(), this->control, this->headers,
-                        this->registry}));
-    this->gateways.back()->Start();
-    return *this->gateways.back();
-  }
-
-  [[nodiscard]] std::size_t HolderCount() const {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        this->gateways,
-        [](const auto& gateway) { return gateway->HoldsLease(); }));
-  }
-
-  SystemClock clock;
-  SeededRandom random{3};
-  TimerQueue timers{Loop(), clock};
-  UpstreamPool pool{Loop(), timers, clock, {}};
-  MemoryLog log;
-  std::vector<std::unique_ptr<CuttableLog>> views;
-  UnreachableTargets control;
-  platform::PlatformHeaders headers;
-  platform::PlatformRegistryFormat registry{{}};
-  std::vector<std::unique_ptr<Gateway>> gateways;
-};
+using test::Fleet;
 
 // Returns the calls to the log for each entry until a holder is known and for
 // some seconds after that.
--- a/test/gateway/support.h
+++ b/test/gateway/support.h
@@ -154,6 +154,15 @@
     this->state->acceptor.close(ignored);
   }
 
+  /// Refuses new connections and closes the existing ones.
+  void Crash() {
+    error_code ignored;
+    this->state->acceptor.close(ignored);
+    for (RawConnection* connection : this->state->open_connections) {
+      connection->Close();
+    }
+  }
+
   [[nodiscard]] std::string Address() const {
     return "127.0.0.1:" +
            std::to_string(this->state->acceptor.local_endpoint().port());
@@ -188,6 +197,7 @@
     }
 
     void Serve(RawConnection& connection) {
+      this->open_connections.push_back(&connection);
       while (true) {
         const std::string request = connection.ReadRequest();
         if (request.empty()) {
@@ -199,12 +209,14 @@
         }
       }
       ++this->ended;
+      std::erase(this->open_connections, &connection);
       connection.Close();
     }
 
     TcpAcceptor acceptor;
     Script script;
     std::vector<std::string> requests;
+    std::vector<RawConnection*> open_connections;
     std::size_t ended = 0;
   };
 
