--- a/include/pimentospar/crash_cause.h
+++ b/include/pimentospar/crash_cause.h
@@ -36,8 +36,10 @@
 /// Limits for `FindCrashCauses`.
 struct CrashCauseOptions {
   std::uint32_t min_strikes = 3;
-  /// Crashes within this time of the first of them count as one strike: targets
-  /// that fail together have a cause outside of the requests.
+  /// Crashes within this time of the first of them count as one strike of a
+  /// fingerprint that has completed before: targets that fail together have a
+  /// cause outside of the requests, and a busy fingerprint is in flight at many
+  /// of them. One that has never completed is rarely in flight at several.
   Duration common_failure_time{0};
 };
 
--- a/src/crash_cause.cc
+++ b/src/crash_cause.cc
@@ -65,7 +65,9 @@
 std::vector<CrashCause> FindCrashCauses(std::vector<CrashSuspect> suspects,
                                         const CrashCauseOptions& options) {
   const auto strikes_of = [&options](const CrashSuspect& suspect) {
-    return CountStrikes(suspect.crashes, options.common_failure_time);
+    return CountStrikes(suspect.crashes, suspect.has_completed_before
+                                             ? options.common_failure_time
+                                             : Duration(0));
   };
   std::vector<CrashCause> causes;
   while (true) {
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -10,9 +10,8 @@
 
 constexpr std::size_t kMaxFingerprints = 1024;
 // Targets that end within this time of each other failed together, as with
-// their power or network. In a large fleet, independent crashes with one cause
-// follow each other closely.
-constexpr std::chrono::milliseconds kCommonFailureTime{100};
+// their power or network.
+constexpr std::chrono::milliseconds kCommonFailureTime{300};
 // A target that accepted a connection may have crashed since.
 constexpr std::chrono::milliseconds kAliveValidity{100};
 // An incarnation that has crashed is remembered for this time, longer than its
--- a/test/quarantine_test.cc
+++ b/test/quarantine_test.cc
@@ -161,12 +161,25 @@
 // Guards against parts that are blamed for targets that failed together, as
 // with their network.
 BOOST_FIXTURE_TEST_CASE(CountsTargetsThatFailTogetherOnce, PartsFixture) {
+  this->quarantine.OnCompleted(kFirst);
   for (int i = 0; i < 5; ++i) {
     this->Crash({kFirst}, 50ms);
   }
   BOOST_TEST(Is<RunNormally>(this->OnRequest({kFirst})));
 }
 
+// Guards against crashes of many targets in a moment, by a part that many
+// requests have, that count as one.
+BOOST_FIXTURE_TEST_CASE(RefusesAPartThatCrashesManyTargetsInAMoment,
+                        PartsFixture) {
+  this->quarantine.OnCompleted(kFirst);
+  for (int i = 0; i < 3; ++i) {
+    this->Crash({kFirst, kDeadly}, 20ms);
+  }
+  BOOST_TEST(Is<RefuseQuarantined>(this->OnRequest({kFirst, kDeadly})));
+  BOOST_TEST(Is<RunNormally>(this->OnRequest({kFirst})));
+}
+
 BOOST_FIXTURE_TEST_CASE(FindsTwoCausesAtTheSameTime, PartsFixture) {
   constexpr Fingerprint kOther{12};
   for (int i = 0; i < 3; ++i) {
