Log the limit that a target names, and write down the timeline of the limited target

Missing: no log line had the limit, so that 'nobody heeds it', 'each entry keeps it alone' and 'repeats' could not be told apart.

--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -54,6 +54,9 @@
   /// Another target responded at the address.
   bool is_other_target = false;
   std::optional<ReportedLoad> load;
+  /// Requests per second that the target takes from all entries together;
+  /// nothing if it has not named a limit.
+  std::optional<double> rate_limit;
 };
 
 /// Parses and writes the HTTP headers that the callers and targets of a
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -352,6 +352,9 @@
   if (attempt.meta.load) {
     this->deps.targets.OnLoadReport(attempt.target.target, *attempt.meta.load);
   }
+  if (attempt.meta.rate_limit) {
+    this->LogRateLimit(attempt);
+  }
   return this->HandleResponseHead(attempt);
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -121,6 +121,7 @@
       Reason reason);
   void OnAttemptEnd(Attempt& attempt, AttemptStatus attempt_status);
   void LogFailedAttempt(const Attempt& attempt) const;
+  void LogRateLimit(const Attempt& attempt) const;
   /// Returns whether the route and the time left allow another attempt after
   /// `runs` runs.
   [[nodiscard]] bool CanRetry(AttemptStatus attempt_status,
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -165,6 +165,17 @@
            {"config", this->table->Config().version.value}});
 }
 
+void RequestHandler::LogRateLimit(const Attempt& attempt) const {
+  LogInfo("target_rate_limit",
+          {{"request", this->meta.id},
+           {"target", attempt.target.target.value},
+           {"started", attempt.target.started_ms},
+           {"per_second", std::to_string(*attempt.meta.rate_limit)},
+           {"status", attempt.exchange->GetHead().result_int()},
+           {"sent_ms", this->deps.clock.Now() - this->last_sent_at},
+           {"sends", this->send_count}});
+}
+
 void RequestHandler::LogOutcome(std::string_view outcome,
                                 unsigned status,
                                 Reason reason) {
