Send gossip about crashes through a class of its own

Cause: StrikeExchange decided what goes on the log and also when datagrams go to which entries; other news need the second part too. Change: GossipSender sends news in rounds to entries drawn at random and repeats what is worth it. StrikeExchange publishes and removes causes whenever strikes change, so that a slow log no longer holds up its own round of datagrams.

--- a/src/gateway/strike_exchange.cc
+++ b/src/gateway/strike_exchange.cc
@@ -11,16 +11,8 @@
 
 namespace {
 
-// Strikes that arrive together are sent together.
-constexpr std::chrono::milliseconds kBatchTime{20};
-// While crashes have a likely cause, each entry sends its strikes to another
-// one this often, for entries that have just started or that missed a datagram.
-constexpr std::chrono::milliseconds kRepeatInterval{1000};
-// New strikes go to this many entries in each of some rounds; each entry that
-// they are new to passes them on.
-constexpr std::size_t kFanOut = 3;
-constexpr std::uint32_t kRounds = 3;
-constexpr std::chrono::milliseconds kRoundInterval{150};
+// How often causes that could not be published are tried again.
+constexpr std::chrono::milliseconds kPublishInterval{1000};
 constexpr std::size_t kMaxStrikesPerMessage = 64;
 constexpr std::chrono::milliseconds kReadWait{2000};
 // An entry that hears from the lease holder most likely hears of strikes too.
@@ -52,9 +44,19 @@
     : loop(loop),
       random(random),
       crashes(crashes),
-      transport(transport),
       log(log),
       options(std::move(options)),
+      gossip(loop,
+             random,
+             transport,
+             {[&crashes] { return crashes.Version(); },
+              [&crashes] { return crashes.HasSuspects(); },
+              [&crashes] {
+                EntryMessage message;
+                message.strikes = crashes.Export(kMaxStrikesPerMessage);
+                return message;
+              },
+              crashes.Changed()}),
       watcher(loop,
               clock,
               random,
@@ -70,7 +72,7 @@
 
 void StrikeExchange::Start() {
   this->watcher.Start();
-  this->loop.Spawn([this] { this->SendRepeatedly(); });
+  this->gossip.Start();
   this->loop.Spawn([this] { this->MaintainLog(); });
 }
 
@@ -78,41 +80,14 @@
   return {this->options.has_fresh_feed() ? kQuietReadWait : kReadWait, {}};
 }
 
-void StrikeExchange::SendRepeatedly() {
-  while (true) {
-    if (this->crashes.Version() == this->sent_version) {
-      (void)this->crashes.Changed().WaitFor(
-          this->rounds_left > 0 ? kRoundInterval : kRepeatInterval);
-    }
-    if (this->crashes.Version() != this->sent_version) {
-      boost::this_fiber::sleep_for(kBatchTime);
-      this->sent_version = this->crashes.Version();
-      this->rounds_left = kRounds;
-    }
-    this->SendStrikes();
-    this->PublishCauses();
-  }
-}
-
 void StrikeExchange::MaintainLog() {
   while (true) {
-    boost::this_fiber::sleep_for(kRepeatInterval);
+    (void)this->crashes.Changed().WaitFor(kPublishInterval);
+    this->PublishCauses();
     this->RemoveOldCauses();
   }
 }
 
-void StrikeExchange::SendStrikes() {
-  const bool has_news = this->rounds_left > 0;
-  if (!has_news && !this->crashes.HasSuspects()) {
-    return;
-  }
-  this->rounds_left -= has_news ? 1 : 0;
-  EntryMessage message;
-  message.strikes = this->crashes.Export(kMaxStrikesPerMessage);
-  this->transport.SendToSome(has_news ? kFanOut : 1, this->random,
-                             std::move(message));
-}
-
 // Only entries that have seen one of the crashes publish their cause, and the
 // lease holder in case they have ended since.
 void StrikeExchange::PublishCauses() {
--- a/src/gateway/strike_exchange.h
+++ b/src/gateway/strike_exchange.h
@@ -7,6 +7,7 @@
 
 #include "gateway/crash_tracker.h"
 #include "gateway/entry_transport.h"
+#include "gateway/gossip_sender.h"
 #include "gateway/keyed_stream_watcher.h"
 
 namespace pimentospar {
@@ -37,9 +38,7 @@
   void Start();
 
  private:
-  void SendRepeatedly();
   void MaintainLog();
-  void SendStrikes();
   void PublishCauses();
   void Publish(Fingerprint fingerprint);
   void RemoveOldCauses();
@@ -49,13 +48,10 @@
   FiberLoop& loop;
   RandomSource& random;
   CrashTracker& crashes;
-  EntryTransport& transport;
   SharedLog& log;
   StrikeExchangeOptions options;
+  GossipSender gossip;
   KeyedStreamWatcher watcher;
-  /// Version of the strikes that other entries were last sent.
-  std::uint64_t sent_version = 0;
-  std::uint32_t rounds_left = 0;
   /// Keys of the causes on the log.
   std::set<std::string> published;
   std::set<Fingerprint> being_published;
