--- a/include/pimentospar/reason.h
+++ b/include/pimentospar/reason.h
@@ -60,6 +60,7 @@
   kConnectionLimit,
   kRetryBudgetExhausted,
   kInternal,
+  kTargetsLimited,
 };
 
 /// The code, HTTP status and texts of a reason, as used in responses, metrics
--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -15,6 +15,7 @@
 #include "pimentospar/random.h"
 #include "pimentospar/routing/inventory.h"
 #include "pimentospar/routing/stream_estimators.h"
+#include "pimentospar/routing/target_limits.h"
 #include "pimentospar/target_health.h"
 #include "pimentospar/types.h"
 
@@ -69,6 +70,9 @@
   Duration long_prompt_cost = std::chrono::milliseconds(300);
   /// Cost of a short prompt at an engine for long prompts.
   Duration short_prompt_cost = std::chrono::milliseconds(150);
+  /// Cost of a target with a limit: its permits are for requests that no other
+  /// target can take as well.
+  Duration limited_target_cost = std::chrono::milliseconds(200);
   /// Share of a prefix that its home target is expected to have cached, since
   /// other entries send requests with this prefix there too.
   double home_hit_ratio = 0.7;
@@ -103,6 +107,8 @@
   std::uint32_t expected_events = 0;
   /// Time left for all these events.
   Duration time_left{0};
+  /// Limits of targets; may be null.
+  const TargetLimits* limits = nullptr;
 };
 
 /// The target selected for a request.
@@ -117,6 +123,9 @@
   std::uint32_t new_tokens = 0;
   /// True if the request tests an unhealthy target.
   bool trial = false;
+  /// Requests per second that the target takes from all entries together. If
+  /// there is a limit, the request needs a permit.
+  std::optional<double> rate_limit;
 };
 /// Targets run the service, but none has loaded the copy.
 struct CopyNotLoaded {
@@ -131,11 +140,17 @@
   /// Shortest expected time to the end of the response among these targets.
   Duration shortest_completion{0};
 };
+/// Targets have loaded the copy, but none of them takes a request now.
+struct AllTargetsLimited {
+  /// Time until one of them may take a request.
+  Duration retry_after{0};
+};
 /// The result of a selection.
 using TargetSelection = std::variant<SelectedTarget,
                                      CopyNotLoaded,
                                      NoUsableTarget,
-                                     AllTargetsOverloaded>;
+                                     AllTargetsOverloaded,
+                                     AllTargetsLimited>;
 
 /// How an attempt ended at its target.
 enum class AttemptOutcome : std::uint8_t {
@@ -174,6 +189,8 @@
   void OnCopyMissing(const TargetId& target, const CopyRef& copy);
   /// Another target responds at this target's address.
   void OnReplaced(const TargetId& target);
+  /// The target has a limit and takes no request before `until`.
+  void OnPermitDenied(const TargetId& target, TimePoint until);
 
   [[nodiscard]] TargetSelection Select(const TargetQuery& query);
 
@@ -229,6 +246,7 @@
     double others_running = 0;
     double others_waiting = 0;
     TimePoint load_reported_at;
+    TimePoint permit_denied_until;
     std::optional<TimePoint> responded_at;
     /// Moving average of the ratio of actual to expected time to first byte.
     double latency_factor = 1;
@@ -263,6 +281,9 @@
                                           const PrefixHomes& homes,
                                           TimePoint now) const;
   [[nodiscard]] Duration NetworkCost(const TargetDescription& target) const;
+  [[nodiscard]] static std::optional<double> FindLimit(
+      const KnownTarget& target,
+      const TargetQuery& query);
   [[nodiscard]] double LoadReportWeight(const KnownTarget& target,
                                         TimePoint now) const;
   [[nodiscard]] TargetSelection ExplainNoCandidate(const TargetQuery& query,
--- a/schema/gateway.capnp
+++ b/schema/gateway.capnp
@@ -25,6 +25,34 @@
   # Entries that the holder of the lease knows, with itself; 0 from others.
   entryCount @12 :UInt32;
   strikes @13 :List(EntryStrike);
+  limits @14 :List(EntryTargetLimit);
+  permitRequests @15 :List(EntryPermitRequest);
+  permitReplies @16 :List(EntryPermitReply);
+}
+
+struct EntryTargetLimit {
+  # Requests per second that a target takes from all entries together.
+  target @0 :Text;
+  startedMs @1 :Int64;
+  # 0 if the target has ended its limit.
+  perSecond @2 :Float64;
+  # Time since the target last said so.
+  ageMs @3 :UInt32;
+}
+
+struct EntryPermitRequest {
+  # Asks the entry that spaces the requests to a target with a limit.
+  id @0 :UInt64;
+  target @1 :Text;
+  perSecond @2 :Float64;
+  maxDelayMs @3 :UInt32;
+}
+
+struct EntryPermitReply {
+  id @0 :UInt64;
+  granted @1 :Bool;
+  # Time until the request may be sent, or until it is worth asking again.
+  delayMs @2 :UInt32;
 }
 
 struct EntryStrike {
--- a/schema/gateway.capnp.h
+++ b/schema/gateway.capnp.h
@@ -17,6 +17,9 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(dc6a7d382666f852);
+CAPNP_DECLARE_SCHEMA(927387fc0f419c2e);
+CAPNP_DECLARE_SCHEMA(84518a2832a8a682);
+CAPNP_DECLARE_SCHEMA(a090ebaa96318cbe);
 CAPNP_DECLARE_SCHEMA(a9955d6f9ff28360);
 CAPNP_DECLARE_SCHEMA(fe71b93b6171cbc4);
 CAPNP_DECLARE_SCHEMA(f7fa599b4d1414f2);
@@ -39,7 +42,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dc6a7d382666f852, 6, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(dc6a7d382666f852, 6, 10)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryTargetLimit {
+  EntryTargetLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(927387fc0f419c2e, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPermitRequest {
+  EntryPermitRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(84518a2832a8a682, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPermitReply {
+  EntryPermitReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a090ebaa96318cbe, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -205,6 +253,15 @@
   inline bool hasStrikes() const;
   inline  ::capnp::List< ::pimentospar::wire::EntryStrike,  ::capnp::Kind::STRUCT>::Reader getStrikes() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool hasPermitRequests() const;
+  inline  ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>::Reader getPermitRequests() const;
+
+  inline bool hasPermitReplies() const;
+  inline  ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>::Reader getPermitReplies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -303,6 +360,27 @@
   inline void adoptStrikes(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryStrike,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryStrike,  ::capnp::Kind::STRUCT>> disownStrikes();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool hasPermitRequests();
+  inline  ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>::Builder getPermitRequests();
+  inline void setPermitRequests( ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>::Builder initPermitRequests(unsigned int size);
+  inline void adoptPermitRequests(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>> disownPermitRequests();
+
+  inline bool hasPermitReplies();
+  inline  ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>::Builder getPermitReplies();
+  inline void setPermitReplies( ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>::Builder initPermitReplies(unsigned int size);
+  inline void adoptPermitReplies(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>> disownPermitReplies();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -329,6 +407,284 @@
 };
 #endif  // !CAPNP_LITE
 
+class EntryTargetLimit::Reader {
+public:
+  typedef EntryTargetLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::int64_t getStartedMs() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryTargetLimit::Builder {
+public:
+  typedef EntryTargetLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryTargetLimit::Pipeline {
+public:
+  typedef EntryTargetLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPermitRequest::Reader {
+public:
+  typedef EntryPermitRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getMaxDelayMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPermitRequest::Builder {
+public:
+  typedef EntryPermitRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getMaxDelayMs();
+  inline void setMaxDelayMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPermitRequest::Pipeline {
+public:
+  typedef EntryPermitRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPermitReply::Reader {
+public:
+  typedef EntryPermitReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline bool getGranted() const;
+
+  inline  ::uint32_t getDelayMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPermitReply::Builder {
+public:
+  typedef EntryPermitReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::uint32_t getDelayMs();
+  inline void setDelayMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPermitReply::Pipeline {
+public:
+  typedef EntryPermitReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EntryStrike::Reader {
 public:
   typedef EntryStrike Reads;
@@ -1331,6 +1687,302 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool EntryMessage::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryMessage::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>::Reader EntryMessage::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void EntryMessage::Builder::setLimits( ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void EntryMessage::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>> EntryMessage::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryTargetLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool EntryMessage::Reader::hasPermitRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryMessage::Builder::hasPermitRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>::Reader EntryMessage::Reader::getPermitRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::getPermitRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void EntryMessage::Builder::setPermitRequests( ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::initPermitRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void EntryMessage::Builder::adoptPermitRequests(
+    ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>> EntryMessage::Builder::disownPermitRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool EntryMessage::Reader::hasPermitReplies() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryMessage::Builder::hasPermitReplies() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>::Reader EntryMessage::Reader::getPermitReplies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::getPermitReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void EntryMessage::Builder::setPermitReplies( ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::initPermitReplies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void EntryMessage::Builder::adoptPermitReplies(
+    ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>> EntryMessage::Builder::disownPermitReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool EntryTargetLimit::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryTargetLimit::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryTargetLimit::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryTargetLimit::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryTargetLimit::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryTargetLimit::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryTargetLimit::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryTargetLimit::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t EntryTargetLimit::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EntryTargetLimit::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryTargetLimit::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double EntryTargetLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double EntryTargetLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntryTargetLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EntryTargetLimit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryTargetLimit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void EntryTargetLimit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EntryPermitRequest::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryPermitRequest::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryPermitRequest::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryPermitRequest::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPermitRequest::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryPermitRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryPermitRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPermitRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryPermitRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryPermitRequest::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryPermitRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double EntryPermitRequest::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double EntryPermitRequest::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntryPermitRequest::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EntryPermitRequest::Reader::getMaxDelayMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryPermitRequest::Builder::getMaxDelayMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void EntryPermitRequest::Builder::setMaxDelayMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EntryPermitReply::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryPermitReply::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryPermitReply::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryPermitReply::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool EntryPermitReply::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void EntryPermitReply::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EntryPermitReply::Reader::getDelayMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryPermitReply::Builder::getDelayMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EntryPermitReply::Builder::setDelayMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EntryStrike::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -119,6 +119,62 @@
   }
 }
 
+void WriteLimits(wire::EntryMessage::Builder to, const EntryMessage& from) {
+  auto limits = to.initLimits(static_cast<unsigned>(from.limits.size()));
+  unsigned index = 0;
+  for (const TargetLimitReport& report : from.limits) {
+    auto row = limits[index++];
+    row.setTarget(report.target.value);
+    row.setStartedMs(report.started_ms);
+    row.setPerSecond(report.per_second.value_or(0));
+    row.setAgeMs(ToWireMilliseconds(report.age));
+  }
+}
+
+void ReadLimits(wire::EntryMessage::Reader from, EntryMessage& to) {
+  for (const auto row : from.getLimits()) {
+    const double per_second = row.getPerSecond();
+    to.limits.push_back(
+        {TargetId(ToStdString(row.getTarget())), row.getStartedMs(),
+         per_second > 0 ? std::optional(per_second) : std::nullopt,
+         milliseconds(row.getAgeMs())});
+  }
+}
+
+void WritePermits(wire::EntryMessage::Builder to, const EntryMessage& from) {
+  auto requests =
+      to.initPermitRequests(static_cast<unsigned>(from.permit_requests.size()));
+  unsigned index = 0;
+  for (const PermitRequest& request : from.permit_requests) {
+    auto row = requests[index++];
+    row.setId(request.id);
+    row.setTarget(request.target.value);
+    row.setPerSecond(request.per_second);
+    row.setMaxDelayMs(ToWireMilliseconds(request.max_delay));
+  }
+  auto replies =
+      to.initPermitReplies(static_cast<unsigned>(from.permit_replies.size()));
+  index = 0;
+  for (const PermitReply& reply : from.permit_replies) {
+    auto row = replies[index++];
+    row.setId(reply.id);
+    row.setGranted(reply.granted);
+    row.setDelayMs(ToWireMilliseconds(reply.delay));
+  }
+}
+
+void ReadPermits(wire::EntryMessage::Reader from, EntryMessage& to) {
+  for (const auto row : from.getPermitRequests()) {
+    to.permit_requests.push_back(
+        {row.getId(), TargetId(ToStdString(row.getTarget())),
+         row.getPerSecond(), milliseconds(row.getMaxDelayMs())});
+  }
+  for (const auto row : from.getPermitReplies()) {
+    to.permit_replies.push_back(
+        {row.getId(), row.getGranted(), milliseconds(row.getDelayMs())});
+  }
+}
+
 void WriteLists(wire::EntryMessage::Builder to, const EntryMessage& from) {
   auto demand = to.initDemand(static_cast<unsigned>(from.demand.size()));
   unsigned index = 0;
@@ -141,6 +197,8 @@
   }
   WriteFeed(to, from);
   WriteStrikes(to, from);
+  WriteLimits(to, from);
+  WritePermits(to, from);
 }
 
 EntryMessage Read(wire::EntryMessage::Reader from) {
@@ -165,6 +223,8 @@
   }
   ReadFeed(from, read);
   ReadStrikes(from, read);
+  ReadLimits(from, read);
+  ReadPermits(from, read);
   return read;
 }
 
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "pimentospar/planning/copy_planner.h"
+#include "pimentospar/routing/target_limits.h"
 #include "pimentospar/routing/target_selector.h"
 #include "pimentospar/strike.h"
 #include "pimentospar/types.h"
@@ -32,6 +33,24 @@
   ReportedLoad load;
 };
 
+/// Asks the entry that spaces the requests to a target with a limit for a
+/// permit.
+struct PermitRequest {
+  /// Drawn by the sender; the reply repeats it.
+  std::uint64_t id = 0;
+  TargetId target;
+  double per_second = 0;
+  std::chrono::milliseconds max_delay{0};
+};
+
+/// Answers a `PermitRequest`.
+struct PermitReply {
+  std::uint64_t id = 0;
+  bool granted = false;
+  /// Time until the request may be sent, or until it is worth asking again.
+  std::chrono::milliseconds delay{0};
+};
+
 /// One datagram between two entries.
 struct EntryMessage {
   HostId host;
@@ -55,6 +74,17 @@
   std::size_t entry_count = 0;
   /// Strikes that the sender knows, newest first.
   std::vector<StrikeReport> strikes;
+  /// Limits of targets that the sender knows.
+  std::vector<TargetLimitReport> limits;
+  std::vector<PermitRequest> permit_requests;
+  std::vector<PermitReply> permit_replies;
+
+  /// Returns whether the message is about the state of its sender, such as
+  /// the lease. Those about crashes and limits are not.
+  [[nodiscard]] bool IsAboutSender() const {
+    return this->strikes.empty() && this->limits.empty() &&
+           this->permit_requests.empty() && this->permit_replies.empty();
+  }
 };
 
 /// Returns the bytes of the datagram that carries the message.
--- a/src/gateway/entry_transport.cc
+++ b/src/gateway/entry_transport.cc
@@ -52,20 +52,10 @@
     LogWarning("entry_message_unreadable", {{"bytes", bytes.size()}});
     return;
   }
-  const auto found = this->peers.find(message->host);
-  if (found != this->peers.end()) {
-    PeerEntry& peer = found->second;
-    if (peer.instance == message->instance &&
-        message->sequence <= peer.sequence) {
-      return;
-    }
-    peer.instance = message->instance;
-    peer.sequence = message->sequence;
-    peer.received_at = this->clock.Now();
-    // Strikes are sent without the state of the sender's lease.
-    if (message->strikes.empty()) {
-      peer.lease = message->lease;
-    }
+  // The other messages need no order, and one that overtakes must not have them
+  // dropped.
+  if (message->IsAboutSender() && !this->IsNew(*message)) {
+    return;
   }
   if (message->entry_count > 0) {
     this->announced_count = message->entry_count;
@@ -74,6 +64,22 @@
   this->handler(*message);
 }
 
+bool EntryTransport::IsNew(const EntryMessage& message) {
+  const auto found = this->peers.find(message.host);
+  if (found == this->peers.end()) {
+    return true;
+  }
+  PeerEntry& peer = found->second;
+  if (peer.instance == message.instance && message.sequence <= peer.sequence) {
+    return false;
+  }
+  peer.instance = message.instance;
+  peer.sequence = message.sequence;
+  peer.received_at = this->clock.Now();
+  peer.lease = message.lease;
+  return true;
+}
+
 void EntryTransport::OnEntry(const HostId& host,
                              const EntryRegistration& registration) {
   if (host == this->self) {
@@ -92,6 +98,15 @@
   return is_announced ? this->announced_count : this->peers.size() + 1;
 }
 
+std::vector<HostId> EntryTransport::PeerHosts() const {
+  std::vector<HostId> hosts;
+  hosts.reserve(this->peers.size());
+  for (const auto& [host, peer] : this->peers) {
+    hosts.push_back(host);
+  }
+  return hosts;
+}
+
 double EntryTransport::StrongestPeerCores() const {
   double strongest = 0;
   for (const auto& [host, peer] : this->peers) {
--- a/src/gateway/entry_transport.h
+++ b/src/gateway/entry_transport.h
@@ -62,6 +62,8 @@
   /// Returns the number of registered entries, including this one: the lease
   /// holder's count if it announced one recently, else the known ones.
   [[nodiscard]] std::size_t EntryCount() const;
+  /// Returns the other entries that this one knows.
+  [[nodiscard]] std::vector<HostId> PeerHosts() const;
   /// Returns the number of other entries that this one knows.
   [[nodiscard]] std::size_t PeerCount() const { return this->peers.size(); }
   /// Returns the largest processor capacity of the other entries in cores.
@@ -71,6 +73,9 @@
  private:
   void RunReceiveLoop();
   void OnDatagram(std::span<const char> bytes);
+  /// Records the state of the sender; returns false for a message that a later
+  /// one has overtaken.
+  [[nodiscard]] bool IsNew(const EntryMessage& message);
   void SendTo(const UdpEndpoint& address, const std::string& bytes);
   [[nodiscard]] std::string StampAndEncode(EntryMessage& message);
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -156,6 +156,7 @@
                       {std::string(platform.registry.CrashCauseStream()),
                        [this] { return this->HoldsLease(); },
                        [this] { return this->HasFreshFeed(); }}),
+      rate_limits(loop, clock, random, this->entry_transport, settings.host),
       request_dependencies{
           clock,
           random,
@@ -168,6 +169,7 @@
           this->stream_lengths,
           this->copy_demand,
           this->crashes,
+          this->rate_limits,
           this->metrics,
           [this] { return this->routes; },
           [this] { return this->entry_transport.EntryCount(); }},
@@ -204,6 +206,7 @@
   this->caller_server.Start();
   this->loop.Spawn([this] { this->RunUpdates(); });
   this->strike_exchange.Start();
+  this->rate_limits.Start();
 }
 
 bool Gateway::IsReady() const {
@@ -216,6 +219,7 @@
   this->draining = true;
   this->drain_started = start;
   this->caller_server.BeginDrain();
+  this->rate_limits.BeginDrain();
   this->lease.StopAcquiring();
   this->loop.Spawn([this] { this->Unregister(); });
   LogInfo("drain_started", {{"in_flight", this->caller_server.InFlight()}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/keyed_stream_watcher.h"
 #include "gateway/lease_manager.h"
 #include "gateway/order_dispatcher.h"
+#include "gateway/rate_limit_coordinator.h"
 #include "gateway/registration_feed.h"
 #include "gateway/registry_format.h"
 #include "gateway/request_handler.h"
@@ -123,7 +124,7 @@
   /// reads, so that this entry may poll the log less often.
   [[nodiscard]] bool HasFreshFeed() const;
   void OnMessage(const EntryMessage& message);
-  void PollEntriesForHolder();
+  void PollEntriesForSender();
   /// Returns whether the lease holder reads the log, or at least not much later
   /// than this entry does.
   [[nodiscard]] bool HolderReachesLog(const EntryMessage& message) const;
@@ -150,6 +151,7 @@
   LeaseManager lease;
   OrderDispatcher order_dispatcher;
   StrikeExchange strike_exchange;
+  RateLimitCoordinator rate_limits;
   RequestDependencies request_dependencies;
   CallerServer caller_server;
   CallerServer readiness_server;
--- a/src/gateway/gateway_messages.cc
+++ b/src/gateway/gateway_messages.cc
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kLoadsPerMessage = 40;
 constexpr std::chrono::milliseconds kHeartbeatInterval{500};
-constexpr std::chrono::milliseconds kUnknownHolderPollInterval{4000};
+constexpr std::chrono::milliseconds kUnknownSenderPollInterval{4000};
 // A lease holder whose last read of the log is older than that of another entry
 // by more than this has lost the log, which the other entry still reaches.
 constexpr std::chrono::milliseconds kMaxHolderLogLag{2500};
@@ -113,6 +113,7 @@
 
 void Gateway::OnMessage(const EntryMessage& message) {
   this->crashes.Import(message.strikes);
+  this->rate_limits.OnMessage(message);
   for (const TargetInventory& entry : message.inventories) {
     this->targets.OnInventory(entry.target, entry.inventory,
                               InventorySource::kPlanner);
@@ -120,10 +121,10 @@
   if (!message.inventories.empty()) {
     this->targets_changed.NotifyAll();
   }
+  if (!this->entry_transport.IsKnown(message.host)) {
+    this->PollEntriesForSender();
+  }
   if (message.lease) {
-    if (!this->entry_transport.IsKnown(message.host)) {
-      this->PollEntriesForHolder();
-    }
     this->lease.OnAnnouncedLease(*message.lease,
                                  this->HolderReachesLog(message));
     if (!this->lease.Held()) {
@@ -142,11 +143,11 @@
   }
 }
 
-// The lease holder may have registered since this entry last read the entries.
-// A holder that is shutting down is no longer registered, so the poll is not
-// repeated with each of its messages.
-void Gateway::PollEntriesForHolder() {
-  if (this->entry_watcher.TimeSinceLastRead() > kUnknownHolderPollInterval) {
+// The sender may have registered since this entry last read the entries. One
+// that is shutting down is no longer registered, so the poll is not repeated
+// with each of its messages.
+void Gateway::PollEntriesForSender() {
+  if (this->entry_watcher.TimeSinceLastRead() > kUnknownSenderPollInterval) {
     this->entry_watcher.PollNow();
   }
 }
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -156,6 +156,7 @@
   query.prefix = this->meta.prefix;
   query.tried = this->tried_targets;
   query.repeatable = this->route->IsRepeatable();
+  query.limits = &this->deps.rate_limits.Limits();
   if (this->route->kind == RequestKind::kStream) {
     const std::uint32_t expected =
         this->deps.stream_lengths.ExpectedEvents(this->route->name);
@@ -193,7 +194,10 @@
     this->RecordCopyDemand(query);
     TargetSelection selection = this->deps.targets.Select(query);
     if (auto* selected = std::get_if<SelectedTarget>(&selection)) {
-      return std::move(*selected);
+      if (!selected->rate_limit || this->AcquirePermit(*selected)) {
+        return std::move(*selected);
+      }
+      continue;
     }
     this->last_selection = selection;
     if (std::holds_alternative<AllTargetsOverloaded>(selection)) {
@@ -352,6 +356,9 @@
   if (attempt.meta.load) {
     this->deps.targets.OnLoadReport(attempt.target.target, *attempt.meta.load);
   }
+  this->deps.rate_limits.OnResponse(attempt.target.target,
+                                    attempt.target.started_ms,
+                                    attempt.meta.rate_limit);
   if (attempt.meta.rate_limit) {
     this->LogRateLimit(attempt);
   }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -10,6 +10,7 @@
 #include "gateway/caller_server.h"
 #include "gateway/copy_demand_tracker.h"
 #include "gateway/crash_tracker.h"
+#include "gateway/rate_limit_coordinator.h"
 #include "gateway/response_forwarder.h"
 #include "gateway/upstream.h"
 #include "net/metrics.h"
@@ -33,6 +34,7 @@
   StreamLengthEstimator& stream_lengths;
   CopyDemandTracker& copy_demand;
   CrashTracker& crashes;
+  RateLimitCoordinator& rate_limits;
   Metrics& metrics;
   /// Returns the current routes, or null before the first configuration.
   std::function<std::shared_ptr<const RouteTable>()> routes;
@@ -101,6 +103,9 @@
   /// Returns the next target, after waiting for a missing copy if necessary;
   /// nothing if no target can be used in time.
   [[nodiscard]] std::optional<SelectedTarget> SelectTarget();
+  /// Acquires a permit for a target with a limit and waits until it begins;
+  /// returns false if the request may not be sent to the target.
+  [[nodiscard]] bool AcquirePermit(const SelectedTarget& selected);
   [[nodiscard]] bool WaitForCopy(bool model_loaded);
   [[nodiscard]] bool WaitForTargetChange(Duration max_wait);
   [[nodiscard]] Duration MaxLoadWait(bool model_loaded) const;
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -100,6 +100,11 @@
 }
 
 bool RequestHandler::RefuseWithoutTarget() {
+  if (const auto* limited =
+          std::get_if<AllTargetsLimited>(&this->last_selection)) {
+    return this->Refuse(kUnavailable, Reason::kTargetsLimited,
+                        limited->retry_after);
+  }
   const TargetQuery query = this->BuildQuery();
   if (query.copy.model.IsEmpty()) {
     return this->Refuse(kUnavailable, Reason::kNoTarget, kRetryAfterStart);
--- a/src/gateway/request_handler_retry.cc
+++ b/src/gateway/request_handler_retry.cc
@@ -66,8 +66,9 @@
   tried.push_back(this->last_target);
   TargetQuery query = this->BuildQuery();
   query.tried = tried;
-  if (!std::holds_alternative<SelectedTarget>(
-          this->deps.targets.Select(query))) {
+  const TargetSelection next = this->deps.targets.Select(query);
+  const auto* selected = std::get_if<SelectedTarget>(&next);
+  if (selected == nullptr || selected->rate_limit) {
     return false;
   }
   this->retry_reserved = this->deps.retry_budget.TryAcquire(
--- a/src/reason.cc
+++ b/src/reason.cc
@@ -119,6 +119,9 @@
                "Try again after Retry-After."},
     ReasonInfo{kInternal, "internal", 500, "Internal error",
                "Report it with the log lines."},
+    ReasonInfo{kTargetsLimited, "targets_limited", 503,
+               "The targets take no more requests per second",
+               "Try again after Retry-After."},
 };
 
 constexpr bool TableIsOrdered() {
@@ -152,7 +155,8 @@
 
 const ReasonInfo& InfoOf(Reason reason) {
   const auto index = static_cast<std::size_t>(reason);
-  return index < kTable.size() ? kTable[index] : kTable.back();
+  return kTable[index < kTable.size() ? index
+                                      : static_cast<std::size_t>(kInternal)];
 }
 
 std::string_view CodeOf(Reason reason) {
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -273,6 +273,15 @@
   return runs_service ? TargetSelection(CopyNotLoaded{}) : NoUsableTarget{};
 }
 
+std::optional<double> TargetSelector::FindLimit(const KnownTarget& target,
+                                                const TargetQuery& query) {
+  if (query.limits == nullptr) {
+    return std::nullopt;
+  }
+  return query.limits->Find(target.description.id,
+                            target.description.inventory.started_ms);
+}
+
 TargetSelection TargetSelector::Select(const TargetQuery& query) {
   const TimePoint now = this->clock.Now();
   this->EraseRemovedTargets(now);
@@ -291,10 +300,18 @@
   CostEstimate best_estimate;
   double best_cost = std::numeric_limits<double>::infinity();
   bool best_is_trial = false;
+  std::optional<double> best_limit;
   std::optional<AllTargetsOverloaded> overloaded;
+  std::optional<AllTargetsLimited> limited;
   for (const KnownTarget* target : candidates) {
-    const CostEstimate estimate =
-        this->EstimateCost(*target, query, homes, now);
+    CostEstimate estimate = this->EstimateCost(*target, query, homes, now);
+    const std::optional<double> limit = FindLimit(*target, query);
+    if (limit && now < target->permit_denied_until) {
+      const Duration wait = target->permit_denied_until - now;
+      limited = {limited ? std::min(limited->retry_after, wait) : wait};
+      continue;
+    }
+    estimate.cost += limit ? this->options.limited_target_cost : Duration(0);
     const double weight = target->health.Weight();
     const bool trial = query.repeatable && target->health.IsTrialDue(now);
     const Duration completion =
@@ -316,10 +333,14 @@
       best_estimate = estimate;
       best_cost = cost;
       best_is_trial = trial;
+      best_limit = limit;
     }
   }
+  if (best == nullptr && overloaded) {
+    return *overloaded;
+  }
   if (best == nullptr) {
-    return overloaded ? *overloaded : this->ExplainNoCandidate(query, now);
+    return limited ? *limited : this->ExplainNoCandidate(query, now);
   }
   return SelectedTarget{
       best->description.id,
@@ -327,7 +348,15 @@
       best->description.inventory.started_ms,
       Scale(best_estimate.expected_ttfb, best->latency_factor),
       best_estimate.new_tokens,
-      best_is_trial};
+      best_is_trial,
+      best_limit};
+}
+
+void TargetSelector::OnPermitDenied(const TargetId& target, TimePoint until) {
+  const auto found = this->targets.find(target);
+  if (found != this->targets.end()) {
+    found->second.permit_denied_until = until;
+  }
 }
 
 void TargetSelector::OnSent(AttemptId attempt,
--- a/test/gateway/entry_message_test.cc
+++ b/test/gateway/entry_message_test.cc
@@ -54,5 +54,49 @@
       (decoded->inventories[0].inventory == message.inventories[0].inventory));
 }
 
+BOOST_AUTO_TEST_CASE(MessageKeepsLimitsAndPermits) {
+  using std::chrono::milliseconds;
+  EntryMessage message;
+  BOOST_TEST(message.IsAboutSender());
+  message.limits = {{TargetId("t"), 5, 1.5, milliseconds(7)},
+                    {TargetId("u"), 6, std::nullopt, milliseconds(8)}};
+  message.permit_requests = {{9, TargetId("t"), 0.5, milliseconds(1000)}};
+  message.permit_replies = {{10, true, milliseconds(20)},
+                            {11, false, milliseconds(30)}};
+  const auto decoded = DecodeEntryMessage(Encode(message));
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST(!decoded->IsAboutSender());
+  BOOST_REQUIRE(decoded->limits.size() == 2U);
+  BOOST_TEST(decoded->limits[0].target.value == "t");
+  BOOST_TEST(decoded->limits[0].started_ms == 5);
+  BOOST_TEST(decoded->limits[0].per_second.value() == 1.5);
+  BOOST_TEST((decoded->limits[0].age == milliseconds(7)));
+  BOOST_TEST(!decoded->limits[1].per_second);
+  BOOST_REQUIRE(decoded->permit_requests.size() == 1U);
+  BOOST_TEST(decoded->permit_requests[0].id == 9U);
+  BOOST_TEST(decoded->permit_requests[0].per_second == 0.5);
+  BOOST_TEST((decoded->permit_requests[0].max_delay == milliseconds(1000)));
+  BOOST_REQUIRE(decoded->permit_replies.size() == 2U);
+  BOOST_TEST(decoded->permit_replies[0].granted);
+  BOOST_TEST(!decoded->permit_replies[1].granted);
+  BOOST_TEST((decoded->permit_replies[1].delay == milliseconds(30)));
+}
+
+BOOST_AUTO_TEST_CASE(MessageKeepsStrikes) {
+  using std::chrono::milliseconds;
+  EntryMessage message;
+  message.strikes = {
+      {Fingerprint{1}, CrashId{2}, true, milliseconds(3), milliseconds(4)}};
+  const auto decoded = DecodeEntryMessage(Encode(message));
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST(!decoded->IsAboutSender());
+  BOOST_REQUIRE(decoded->strikes.size() == 1U);
+  BOOST_TEST(decoded->strikes[0].fingerprint.value == 1U);
+  BOOST_TEST(decoded->strikes[0].crash.value == 2U);
+  BOOST_TEST(decoded->strikes[0].cleared);
+  BOOST_TEST((decoded->strikes[0].age == milliseconds(3)));
+  BOOST_TEST((decoded->strikes[0].last_seen_age == milliseconds(4)));
+}
+
 }  // namespace
 }  // namespace pimentospar
--- a/test/gateway/limited_target_test.cc
+++ b/test/gateway/limited_target_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE limited_target
 #include <boost/test/unit_test.hpp>
 
+#include <deque>
+
 #include "fleet.h"
 
 // Targets that name the requests per second that they take from all entries.
@@ -104,10 +106,24 @@
     BOOST_TEST(Eventually([&] { return entry.IsReady(); }));
   }
 
+  /// Registers an entry that does not reply.
+  void AddSilentEntry() {
+    const auto loopback = boost::asio::ip::make_address("127.0.0.1");
+    this->silent_sockets.emplace_back(test::Loop().Context(),
+                                      UdpEndpoint{loopback, 0});
+    const UdpEndpoint local = this->silent_sockets.back().local_endpoint();
+    const std::string host =
+        "silent" + std::to_string(this->silent_sockets.size());
+    (void)this->fleet.log.AppendKeyed(
+        this->fleet.registry.EntryStream(), host,
+        Encode(EntryRegistration{{local.address().to_string(), local.port()},
+                                 0.1}));
+  }
+
   /// Sends a request without waiting for the response.
   void Send(std::size_t entry) {
-    test::Loop().Spawn([this, entry] {
-      const std::string id = std::to_string(++this->requests);
+    const std::string id = std::to_string(++this->requests);
+    test::Loop().Spawn([this, entry, id] {
       RawConnection caller(this->fleet.gateways.at(entry)->CallerAddress());
       caller.Write("POST /chat/" + id +
                    " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
@@ -139,6 +155,7 @@
   Fleet& fleet;
   // Their connections are served until the program ends.
   std::vector<LimitedTarget*> targets;
+  std::deque<UdpSocket> silent_sockets;
   std::size_t requests = 0;
   std::size_t answered = 0;
   std::size_t refused = 0;
@@ -164,5 +181,59 @@
   BOOST_TEST(fleet.answered >= kUsed);
 }
 
+// Requests must not be refused, or wait, while another target takes them.
+BOOST_AUTO_TEST_CASE(RequestsAreRefusedThoughAnotherTargetHasNoLimit) {
+  LimitedFleet fleet(3, 1, 1);
+  fleet.SendFor(milliseconds(1000), 10);
+  const TimePoint limited_from = fleet.Now();
+  fleet.SendFor(milliseconds(5000), 20);
+  CheckLimit(*fleet.targets[0], limited_from);
+  BOOST_TEST(fleet.answered == fleet.requests);
+}
+
+BOOST_AUTO_TEST_CASE(LimitOutlivesTheNeedOfItsTarget) {
+  LimitedFleet fleet(3, 1, 0);
+  fleet.SendFor(milliseconds(2000), 10);
+  fleet.targets[0]->limited = false;
+  fleet.SendFor(milliseconds(2000), 5);
+  const std::size_t refused = fleet.refused;
+  fleet.SendFor(milliseconds(2000), 20);
+  BOOST_TEST(fleet.refused == refused);
+}
+
+// An entry that starts later must hear of the limit before it sends a burst of
+// its own.
+BOOST_AUTO_TEST_CASE(LaterEntryLearnsOfTheLimitFromItsOwnRequestsOnly) {
+  LimitedFleet fleet(2, 1, 0);
+  fleet.SendFor(milliseconds(1000), 10);
+  fleet.AddEntry();
+  fleet.SendFor(milliseconds(4000), 1);
+  const std::size_t before = fleet.targets[0]->Arrivals();
+  constexpr std::size_t kBurst = 20;
+  for (std::size_t i = 0; i < kBurst; ++i) {
+    fleet.Send(2);
+  }
+  BOOST_TEST(Eventually([&] { return fleet.ended == fleet.requests; }));
+  // Two permits may have been saved, and some begin within a second.
+  BOOST_TEST(fleet.targets[0]->Arrivals() - before <= 5U);
+}
+
+// Entries that other entries still know but that have ended: whoever should
+// space the requests is silent.
+BOOST_AUTO_TEST_CASE(SilentEntryLeavesTheLimitToEachOther) {
+  LimitedFleet fleet(3, 4, 0);
+  for (std::size_t i = 0; i < 4; ++i) {
+    fleet.AddSilentEntry();
+  }
+  fleet.SendFor(milliseconds(2000), 10);
+  const TimePoint limited_from = fleet.Now();
+  const std::size_t answered = fleet.answered;
+  fleet.SendFor(milliseconds(8000), 20);
+  for (const LimitedTarget* target : fleet.targets) {
+    CheckLimit(*target, limited_from);
+  }
+  BOOST_TEST(fleet.answered > answered);
+}
+
 }  // namespace
 }  // namespace pimentospar
--- a/test/gateway/platform_test.cc
+++ b/test/gateway/platform_test.cc
@@ -288,5 +288,22 @@
   BOOST_TEST(!ValueOrNothing(ParseSettings("= nonsense", "bad")));
 }
 
+BOOST_AUTO_TEST_CASE(ReadsTheRateLimitOfATarget) {
+  const PlatformHeaders headers;
+  const auto limit_of = [&headers](std::string_view text) {
+    HttpFields fields;
+    fields.set("Server-Limit", text);
+    return headers.ParseResponse(200, fields, TargetId("i-1")).rate_limit;
+  };
+  BOOST_TEST(limit_of("1.5").value() == 1.5);
+  BOOST_TEST(limit_of(" 20 ").value() == 20);
+  BOOST_TEST(limit_of("0").value() > 0);
+  for (const std::string_view text : {"", "x", "-1", "nan", "inf", "1.5x"}) {
+    BOOST_TEST(!limit_of(text), text);
+  }
+  BOOST_TEST(
+      !headers.ParseResponse(200, HttpFields(), TargetId("i-1")).rate_limit);
+}
+
 }  // namespace
 }  // namespace pimentospar::platform
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -133,6 +133,11 @@
   CopyDemandTracker copy_demand;
   Metrics metrics;
   CrashTracker crashes{clock, pool, metrics, [] { return false; }};
+  EntryTransport transport{
+      Loop(),      clock, {boost::asio::ip::make_address("127.0.0.1"), 0},
+      HostId("h"), {1},   [](const EntryMessage&) {}};
+  RateLimitCoordinator rate_limits{Loop(), clock, random, transport,
+                                   HostId("h")};
   std::shared_ptr<const RouteTable> table;
   RequestDependencies deps{clock,
                            random,
@@ -145,6 +150,7 @@
                            stream_lengths,
                            copy_demand,
                            crashes,
+                           rate_limits,
                            metrics,
                            [this] { return this->table; },
                            [] { return std::size_t{1}; }};
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -233,5 +233,52 @@
   BOOST_TEST(this->SelectedName(query) == "slow");
 }
 
+// Guards against requests that use up the permits of a target in need, or wait
+// for one, while another target takes them.
+BOOST_FIXTURE_TEST_CASE(PrefersTargetsWithoutALimit, Fixture) {
+  TargetLimits limits(this->clock);
+  this->selector.OnTarget(Target("limited"));
+  this->selector.OnTarget(Target("free"));
+  limits.OnResponse(TargetId("limited"), 1, 2);
+  TargetQuery query = this->Query();
+  query.limits = &limits;
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST(this->SelectedName(query) == "free");
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(TellsWhenALimitedTargetTakesRequestsAgain, Fixture) {
+  TargetLimits limits(this->clock);
+  this->selector.OnTarget(Target("limited"));
+  limits.OnResponse(TargetId("limited"), 1, 2);
+  TargetQuery query = this->Query();
+  query.limits = &limits;
+  const TargetSelection selection = this->selector.Select(query);
+  BOOST_TEST(std::get<SelectedTarget>(selection).rate_limit.value() == 2);
+  this->selector.OnPermitDenied(TargetId("limited"),
+                                this->clock.Now() + milliseconds(700));
+  const TargetSelection denied = this->selector.Select(query);
+  BOOST_TEST(
+      (std::get<AllTargetsLimited>(denied).retry_after == milliseconds(700)));
+  this->clock.Advance(milliseconds(700));
+  BOOST_TEST(this->SelectedName(query) == "limited");
+}
+
+// Guards against a restarted target that gets no requests for a limit that it
+// named before.
+BOOST_FIXTURE_TEST_CASE(ForgetsTheLimitOfAnEarlierStart, Fixture) {
+  TargetLimits limits(this->clock);
+  TargetDescription target = Target("t");
+  this->selector.OnTarget(target);
+  limits.OnResponse(TargetId("t"), 1, 2);
+  this->selector.OnPermitDenied(TargetId("t"), this->clock.Now() + seconds(60));
+  target.inventory.started_ms = 2;
+  this->selector.OnTarget(target);
+  TargetQuery query = this->Query();
+  query.limits = &limits;
+  const TargetSelection selection = this->selector.Select(query);
+  BOOST_TEST(!std::get<SelectedTarget>(selection).rate_limit);
+}
+
 }  // namespace
 }  // namespace pimentospar
