Refuse calls without a prompt that crash target after target

What callers saw: not seen by callers; looked for after the crashing prompt part. A call that crashes its targets and is sent again, at any entry, crashed two targets each time. Change: such a request is one fingerprint, of method, host, path and body. Result: RepeatedCallCrashesTargetAfterTarget fails without the change (12 of 12 targets crash, bound 5) and passes with it.

--- a/include/pimentospar/quarantine.h
+++ b/include/pimentospar/quarantine.h
@@ -42,6 +42,12 @@
 /// besides.
 [[nodiscard]] Fingerprint FingerprintOfPromptPart(std::string_view part_id);
 
+/// Returns the fingerprint of an HTTP request of which nothing more is known.
+[[nodiscard]] Fingerprint FingerprintOfRequest(std::string_view method,
+                                               std::string_view host,
+                                               std::string_view target,
+                                               std::string_view body);
+
 /// Limits and delays of a `Quarantine`.
 struct QuarantineOptions {
   std::size_t max_fingerprints = 4096;
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -27,8 +27,9 @@
   /// Prefixes of the prompt that other requests may share, shortest first. The
   /// last block of the prompt is specific to this request and is left out.
   std::vector<PrefixBlock> prefix;
-  /// The parts that these prefixes consist of, each on its own.
-  std::vector<Fingerprint> shared_parts;
+  /// What crashes of targets may be attributed to: the parts that these
+  /// prefixes consist of, each on its own. Empty if there are none.
+  std::vector<Fingerprint> fingerprints;
   /// The last event that the caller has already received.
   std::optional<std::uint64_t> last_event;
 };
--- a/src/gateway/request_handler_crash.cc
+++ b/src/gateway/request_handler_crash.cc
@@ -13,9 +13,19 @@
 
 }  // namespace
 
+void RequestHandler::IdentifyPlainRequest() {
+  if (!this->meta.fingerprints.empty()) {
+    return;
+  }
+  const auto& message = this->request.message;
+  this->meta.fingerprints = {FingerprintOfRequest(
+      message.method_string(), message[boost::beast::http::field::host],
+      message.target(), *this->body)};
+}
+
 bool RequestHandler::IsQuarantined() {
   if (!this->IsTrial() || this->send_count > 0) {
-    this->admission = this->deps.crashes.Admit(this->meta.shared_parts);
+    this->admission = this->deps.crashes.Admit(this->meta.fingerprints);
   }
   return std::holds_alternative<RefuseQuarantined>(this->admission);
 }
@@ -39,7 +49,7 @@
   this->deps.targets.OnEvent(this->last_target, interval);
   if (!this->survival_recorded && this->HasTargetSurvived()) {
     this->survival_recorded = true;
-    this->deps.crashes.OnSurvived(this->meta.shared_parts);
+    this->deps.crashes.OnSurvived(this->meta.fingerprints);
   }
 }
 
@@ -63,7 +73,7 @@
                                     AttemptStatus attempt_status) {
   if (attempt_status == AttemptStatus::kDelivered) {
     if (this->HasTargetSurvived() || !attempt.exchange->EndsWithConnection()) {
-      this->deps.crashes.OnSurvived(this->meta.shared_parts);
+      this->deps.crashes.OnSurvived(this->meta.fingerprints);
     }
     return;
   }
@@ -72,7 +82,7 @@
     return;
   }
   attempt.target_crashed = this->deps.crashes.OnConnectionBroken(
-      attempt.target, this->meta.shared_parts);
+      attempt.target, this->meta.fingerprints);
 }
 
 }  // namespace pimentospar
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -164,7 +164,7 @@
            {"sent_ms", was_sent ? this->deps.clock.Now() - this->last_sent_at
                                 : Duration(0)},
            {"events", this->forwarder.EventCount() - attempt.earlier_events},
-           {"parts", JoinFingerprints(this->meta.shared_parts)},
+           {"parts", JoinFingerprints(this->meta.fingerprints)},
            {"expected_ms", attempt.target.expected_ttfb},
            {"left_ms", this->RemainingTime()},
            {"config", this->table->Config().version.value}});
@@ -210,7 +210,7 @@
            {"service", this->service.value},
            {"model", PrefixScope(this->meta.copy).value},
            {"target", this->last_target.value},
-           {"parts", JoinFingerprints(this->meta.shared_parts)},
+           {"parts", JoinFingerprints(this->meta.fingerprints)},
            {"sends", this->send_count},
            {"runs", this->run_count},
            {"ms", took},
--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -110,6 +110,18 @@
   return Fingerprint{Hash64(text)};
 }
 
+Fingerprint FingerprintOfRequest(std::string_view method,
+                                 std::string_view host,
+                                 std::string_view target,
+                                 std::string_view body) {
+  std::string text;
+  for (const std::string_view part :
+       {std::string_view("http"), method, host, target, body}) {
+    AppendWithLength(part, text);
+  }
+  return Fingerprint{Hash64(text)};
+}
+
 Quarantine::Quarantine(const Clock& clock, const QuarantineOptions& options)
     : clock(clock), options(options), completions(options.max_fingerprints) {}
 
--- a/test/gateway/crashing_request_test.cc
+++ b/test/gateway/crashing_request_test.cc
@@ -16,10 +16,14 @@
 
 constexpr std::string_view kDeadlyPart = "dead:100";
 constexpr std::size_t kMaxCrashes = 5;
+constexpr std::size_t kTruncatedBytes = 150;
 constexpr std::string_view kConfig =
     R"({"version":1,"services":[{"name":"s"}],"routes":[)"
     R"({"name":"chat","host":"a.example","path_prefix":"/chat/",)"
     R"("kind":"stream","resumable":true,"service":"s","attempts":2,)"
+    R"("timeout_ms":4000,"goal_ms":1000},)"
+    R"({"name":"call","host":"a.example","path_prefix":"/call/",)"
+    R"("kind":"safe","service":"s","attempts":2,)"
     R"("timeout_ms":4000,"goal_ms":1000}]})";
 
 std::string RequestIdOf(const std::string& request) {
@@ -59,8 +63,12 @@
       return false;
     }
     if (Contains(request, kDeadlyPart)) {
-      // Ends inside an event, in a response without a length.
-      connection.Write(UnframedHead(RequestIdOf(request)) + "id: 1\nda");
+      // Ends inside an event of a response without a length, or short of the
+      // length of a response that has one.
+      const std::string id = RequestIdOf(request);
+      connection.Write(Contains(request, "/chat/")
+                           ? UnframedHead(id) + "id: 1\nda"
+                           : CompleteStream(id).substr(0, kTruncatedBytes));
       this->Crash();
       return false;
     }
@@ -117,6 +125,18 @@
     return caller.ReadAll();
   }
 
+  /// Sends a call with this body and no prompt, and returns the response.
+  std::string Call(std::size_t entry, const std::string& body) {
+    RawConnection caller(this->fleet.gateways.at(entry)->CallerAddress());
+    caller.Write(
+        "POST /call/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+        "X-Pimentospar-Request-Id: " +
+        std::to_string(++this->requests) +
+        "\r\nX-Pimentospar-Deadline-Ms: 4000\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body);
+    return caller.ReadAll();
+  }
+
   /// Returns the number of causes of crashes on the log.
   [[nodiscard]] std::size_t CauseCount() const {
     return this->fleet.log
@@ -204,6 +224,22 @@
   CheckThatOnlyTheDeadlyPartIsRefused(fleet, 2);
 }
 
+// A request without a prompt that is sent again and again crashed two targets
+// each time.
+BOOST_AUTO_TEST_CASE(RepeatedCallCrashesTargetAfterTarget) {
+  constexpr std::size_t kTargets = 12;
+  FragileFleet fleet(2, kTargets);
+  std::string last_response;
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    last_response = fleet.Call(i % 2, std::string(kDeadlyPart));
+    const std::string sound = fleet.Call(1 - i % 2, "sound");
+    BOOST_TEST(Contains(sound, "id: 2"), sound);
+    boost::this_fiber::sleep_for(milliseconds(500));
+  }
+  BOOST_TEST(fleet.CrashedTargets() <= kMaxCrashes);
+  BOOST_TEST(last_response.starts_with("HTTP/1.1 503"), last_response);
+}
+
 // Targets that crash for another reason must not cost sound requests their
 // part.
 BOOST_AUTO_TEST_CASE(SoundPartIsBlamedForCrashesWithAnotherCause) {
