Pass over a silent entry once for requests that waited for it together

Cause: each request whose permit was not answered doubled the time, also those that had waited at the same time. Change: a silence that is under way is not extended. Result: in limited_target_test silent entries are passed over for 2 s, then 4 s and on, once each.

--- a/src/gateway/rate_limit_coordinator.cc
+++ b/src/gateway/rate_limit_coordinator.cc
@@ -149,14 +149,21 @@
     this->silences.erase(host);
     return ToDecision(*waiting->reply);
   }
+  this->OnSilence(host);
+  return std::nullopt;
+}
+
+// Requests that waited for the same entry at the same time count once.
+void RateLimitCoordinator::OnSilence(const HostId& host) {
+  if (this->IsSilent(host)) {
+    return;
+  }
   Silence& silence = this->silences[host];
   silence.length =
       std::clamp<Duration>(2 * silence.length, kMinSilence, kMaxSilence);
   silence.until = this->clock.Now() + silence.length;
-  LogWarning("permit_unanswered", {{"host", host.value},
-                                   {"target", request.target.value},
-                                   {"silence_ms", silence.length}});
-  return std::nullopt;
+  LogWarning("permit_unanswered",
+             {{"host", host.value}, {"silence_ms", silence.length}});
 }
 
 void RateLimitCoordinator::OnMessage(const EntryMessage& message) {
--- a/src/gateway/rate_limit_coordinator.h
+++ b/src/gateway/rate_limit_coordinator.h
@@ -61,6 +61,7 @@
   /// Returns nothing if the entry does not reply.
   [[nodiscard]] std::optional<PermitDecision> Ask(const HostId& host,
                                                   const PermitRequest& request);
+  void OnSilence(const HostId& host);
   void OnPermitRequests(const EntryMessage& message);
   /// Takes a permit from those that this entry gives out.
   [[nodiscard]] PermitDecision TakePermit(const PermitRequest& request);
