Count a part that completes at one entry as completing at all entries

What callers saw: not seen by callers; found while reading for fleets in which an entry gets requests with a part only now and then. Sound requests with a part would be refused for 30 s at entries that had not seen it complete, after three targets that failed together had it in flight. Cause: completions counted at the entry that saw them. Others learned of them only through the strikes that they cleared there, and those came last in a message of 64 strikes. The class: what one entry learns does not count at the others. Change: a report tells when its part last completed at any entry; strikes before that are cleared wherever they arrive, and a part that completes at all is blamed last. Suspects that never completed are told first, then the parts with the most strikes, cleared or not, with at most 8 reports each and one where all are cleared. Test changed: GossipConverges exchanged reports in one round and a third. A peer now adds to what it receives that the request has completed there, as at peer 0 in the case [1, 9], and the others learn that in the next round; so it has two rounds and a third now. What it asks is the same: all peers agree.

--- a/include/pimentospar/quarantine.h
+++ b/include/pimentospar/quarantine.h
@@ -114,8 +114,9 @@
   void OnCompleted(Fingerprint fingerprint);
   /// Merges strikes from a peer; a strike counts once, however often received.
   void Import(std::span<const StrikeReport> reports);
-  /// Returns at most `limit` reports; those on the fingerprints with the most
-  /// strikes first, and then the newest.
+  /// Returns at most `limit` reports: those on fingerprints that have never
+  /// completed and have several strikes first, then those on the fingerprints
+  /// with the most strikes, cleared ones included, and then the newest.
   [[nodiscard]] std::vector<StrikeReport> Export(std::size_t limit) const;
 
   /// Returns the reports on one fingerprint.
@@ -140,13 +141,19 @@
     TimePoint last_seen;
     std::vector<Strike> strikes;
     std::optional<TimePoint> last_trial;
+    /// When the fingerprint last completed at any process; strikes before that
+    /// are cleared.
+    std::optional<TimePoint> completed_at;
   };
   using RecordList = std::list<RequestRecord>;
 
   RequestRecord& FindOrAddRecord(Fingerprint fingerprint, TimePoint seen);
   void MarkSeen(RecordList::iterator record, TimePoint seen);
   void Merge(RequestRecord& record, const Strike& strike);
+  void RecordCompletion(RequestRecord& record, TimePoint completed_at);
   void DropExpired();
+  /// Returns whether the fingerprint is a likely cause of several crashes.
+  [[nodiscard]] bool IsSuspect(const RequestRecord& record) const;
   void AppendReports(const RequestRecord& record,
                      std::vector<StrikeReport>& reports) const;
   [[nodiscard]] static std::uint32_t CountActiveStrikes(
--- a/include/pimentospar/strike.h
+++ b/include/pimentospar/strike.h
@@ -2,6 +2,7 @@
 #define INCLUDE_PIMENTOSPAR_STRIKE_H_
 
 #include <chrono>
+#include <optional>
 
 #include "pimentospar/types.h"
 
@@ -22,6 +23,9 @@
   std::chrono::milliseconds age{0};
   /// Time since any process last received a request with the fingerprint.
   std::chrono::milliseconds last_seen_age{0};
+  /// Time since the fingerprint last completed at any process, as far as the
+  /// sender knows; strikes before that are cleared.
+  std::optional<std::chrono::milliseconds> completed_age;
 };
 
 }  // namespace pimentospar
--- a/schema/gateway.capnp
+++ b/schema/gateway.capnp
@@ -63,6 +63,9 @@
   lastSeenAgeMs @3 :UInt32;
   # True if the fingerprint has completed since.
   cleared @4 :Bool;
+  # Time since the fingerprint last completed at any entry, plus 1; 0 if it is
+  # not known to have completed.
+  completedAgeMs @5 :UInt32;
 }
 
 struct EntryRegistration {
--- a/schema/gateway.capnp.h
+++ b/schema/gateway.capnp.h
@@ -712,6 +712,8 @@
 
   inline bool getCleared() const;
 
+  inline  ::uint32_t getCompletedAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -755,6 +757,9 @@
   inline bool getCleared();
   inline void setCleared(bool value);
 
+  inline  ::uint32_t getCompletedAgeMs();
+  inline void setCompletedAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2053,6 +2058,20 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t EntryStrike::Reader::getCompletedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryStrike::Builder::getCompletedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void EntryStrike::Builder::setCompletedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryRegistration::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -16,6 +16,8 @@
 // Enough for the message in the largest datagram; a message beyond this does
 // not come from an entry.
 constexpr std::uint64_t kMaxWords = 64ULL * 1024;
+// Added to optional ages, since 0 stands for none.
+constexpr milliseconds kAgeOffset{1};
 
 void Write(wire::EntryCopy::Builder to, const ServiceCopy& from) {
   to.setService(from.service.value);
@@ -97,6 +99,12 @@
   }
 }
 
+std::optional<milliseconds> ReadOptionalAge(std::uint32_t wire_age_ms) {
+  return wire_age_ms == 0
+             ? std::nullopt
+             : std::optional(milliseconds(wire_age_ms) - kAgeOffset);
+}
+
 void WriteStrikes(wire::EntryMessage::Builder to, const EntryMessage& from) {
   auto strikes = to.initStrikes(static_cast<unsigned>(from.strikes.size()));
   unsigned index = 0;
@@ -107,6 +115,10 @@
     row.setCleared(report.cleared);
     row.setAgeMs(ToWireMilliseconds(report.age));
     row.setLastSeenAgeMs(ToWireMilliseconds(report.last_seen_age));
+    row.setCompletedAgeMs(
+        report.completed_age
+            ? ToWireMilliseconds(*report.completed_age + kAgeOffset)
+            : 0);
   }
 }
 
@@ -115,7 +127,8 @@
     to.strikes.push_back({Fingerprint{row.getFingerprint()},
                           CrashId{row.getCrash()}, row.getCleared(),
                           milliseconds(row.getAgeMs()),
-                          milliseconds(row.getLastSeenAgeMs())});
+                          milliseconds(row.getLastSeenAgeMs()),
+                          ReadOptionalAge(row.getCompletedAgeMs())});
   }
 }
 
--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <functional>
+#include <ranges>
+#include <tuple>
 
 #include "pimentospar/digest.h"
 
@@ -17,6 +19,9 @@
 // A request that is this many strikes short of refusal is not sent again after
 // a crash.
 constexpr std::uint32_t kIsolationMargin = 1;
+// Strikes of one fingerprint that are reported; more change no decision but the
+// time until the next trial.
+constexpr std::ptrdiff_t kMaxReportsPerFingerprint = 8;
 // Limit on the doublings of the time between trials.
 constexpr std::uint32_t kMaxTrialDoublings = 8;
 
@@ -182,11 +187,15 @@
       [&](const RequestRecord& other) { return other.last_seen <= seen; });
   const auto record =
       this->records.insert(place, RequestRecord{fingerprint, seen, {}});
+  record->completed_at = this->completions.Last(fingerprint);
   this->index.emplace(fingerprint, record);
   return *record;
 }
 
 void Quarantine::Merge(RequestRecord& record, const Strike& strike) {
+  if (strike.cleared) {
+    this->RecordCompletion(record, strike.changed);
+  }
   const auto known =
       std::ranges::find(record.strikes, strike.crash, &Strike::crash);
   if (known != record.strikes.end()) {
@@ -205,9 +214,31 @@
     record.strikes.erase(oldest);
   }
   record.strikes.push_back(strike);
+  if (record.completed_at && strike.changed <= *record.completed_at) {
+    record.strikes.back().cleared = true;
+    record.strikes.back().changed = *record.completed_at;
+  }
   ++this->version;
 }
 
+void Quarantine::RecordCompletion(RequestRecord& record,
+                                  TimePoint completed_at) {
+  if (record.completed_at && *record.completed_at >= completed_at) {
+    return;
+  }
+  // That a fingerprint completes at all is news for other processes too.
+  this->version += record.completed_at ? 0 : 1;
+  record.completed_at = completed_at;
+  for (Strike& strike : record.strikes) {
+    if (strike.cleared || strike.changed > completed_at) {
+      continue;
+    }
+    strike.cleared = true;
+    strike.changed = completed_at;
+    ++this->version;
+  }
+}
+
 QuarantineDecision Quarantine::OnRequest(Fingerprint fingerprint) {
   this->DropExpired();
   const auto found = this->index.find(fingerprint);
@@ -245,11 +276,10 @@
     std::uint32_t min_strikes) const {
   std::vector<CrashSuspect> suspects;
   for (const RequestRecord& record : this->records) {
-    const auto completed_at = this->completions.Last(record.fingerprint);
-    CrashSuspect suspect{record.fingerprint, completed_at.has_value(), {}};
+    CrashSuspect suspect{
+        record.fingerprint, record.completed_at.has_value(), {}};
     for (const Strike& strike : record.strikes) {
-      if (strike.cleared || (completed_at && *completed_at > strike.changed)) {
-        suspect.has_completed_before = true;
+      if (strike.cleared) {
         continue;
       }
       suspect.crashes.push_back({strike.crash, strike.changed});
@@ -333,45 +363,62 @@
 }
 
 void Quarantine::OnCompleted(Fingerprint fingerprint) {
-  this->completions.OnCompleted(fingerprint, this->clock.Now());
+  const TimePoint now = this->clock.Now();
+  this->completions.OnCompleted(fingerprint, now);
   const auto found = this->index.find(fingerprint);
-  if (found == this->index.end()) {
-    return;
-  }
-  for (Strike& strike : found->second->strikes) {
-    if (!strike.cleared) {
-      strike.cleared = true;
-      strike.changed = this->clock.Now();
-      ++this->version;
-    }
+  if (found != this->index.end()) {
+    this->RecordCompletion(*found->second, now);
   }
 }
 
 void Quarantine::Import(std::span<const StrikeReport> reports) {
   const TimePoint now = this->clock.Now();
+  constexpr std::chrono::milliseconds kNoAge{0};
   for (const StrikeReport& report : reports) {
     if (report.last_seen_age >= this->options.retention) {
       continue;
     }
-    const auto seen_age =
-        std::max(report.last_seen_age, std::chrono::milliseconds(0));
-    const auto age = std::max(report.age, std::chrono::milliseconds(0));
-    this->Merge(this->FindOrAddRecord(report.fingerprint, now - seen_age),
-                {report.crash, now - age, report.cleared});
+    RequestRecord& record = this->FindOrAddRecord(
+        report.fingerprint, now - std::max(report.last_seen_age, kNoAge));
+    if (report.completed_age) {
+      this->RecordCompletion(record,
+                             now - std::max(*report.completed_age, kNoAge));
+    }
+    this->Merge(record, {report.crash, now - std::max(report.age, kNoAge),
+                         report.cleared});
   }
   this->DropExpired();
 }
 
+// A strike that is cleared tells nothing beside the time of the completion, so
+// it is reported only if there is no other strike that could carry that time.
 void Quarantine::AppendReports(const RequestRecord& record,
                                std::vector<StrikeReport>& reports) const {
+  std::vector<Strike> newest = record.strikes;
+  std::ranges::sort(newest, std::greater(), [](const Strike& strike) {
+    return std::pair(!strike.cleared, strike.changed);
+  });
+  const std::ptrdiff_t active = CountActiveStrikes(record);
+  const std::ptrdiff_t count =
+      std::clamp<std::ptrdiff_t>(active, 1, kMaxReportsPerFingerprint);
   const TimePoint now = this->clock.Now();
-  for (const Strike& strike : record.strikes) {
+  const auto completed_age = [&]() -> std::optional<std::chrono::milliseconds> {
+    return record.completed_at ? std::optional(AgeOf(now, *record.completed_at))
+                               : std::nullopt;
+  }();
+  for (const Strike& strike : newest | std::views::take(count)) {
     reports.push_back({record.fingerprint, strike.crash, strike.cleared,
-                       AgeOf(now, strike.changed),
-                       AgeOf(now, record.last_seen)});
+                       AgeOf(now, strike.changed), AgeOf(now, record.last_seen),
+                       completed_age});
   }
 }
 
+bool Quarantine::IsSuspect(const RequestRecord& record) const {
+  return !record.completed_at &&
+         CountActiveStrikes(record) + kIsolationMargin >=
+             this->options.strikes_to_refuse;
+}
+
 std::vector<StrikeReport> Quarantine::ExportOf(Fingerprint fingerprint) const {
   std::vector<StrikeReport> reports;
   const auto found = this->index.find(fingerprint);
@@ -386,8 +433,9 @@
   for (const RequestRecord& record : this->records) {
     order.push_back(&record);
   }
-  std::ranges::sort(order, std::greater(), [](const RequestRecord* record) {
-    return std::pair(CountActiveStrikes(*record), LastChange(*record));
+  std::ranges::sort(order, std::greater(), [this](const RequestRecord* record) {
+    return std::tuple(this->IsSuspect(*record), record->strikes.size(),
+                      LastChange(*record));
   });
   std::vector<StrikeReport> reports;
   for (const RequestRecord* record : order) {
--- a/test/gateway/entry_message_test.cc
+++ b/test/gateway/entry_message_test.cc
@@ -86,16 +86,20 @@
   using std::chrono::milliseconds;
   EntryMessage message;
   message.strikes = {
-      {Fingerprint{1}, CrashId{2}, true, milliseconds(3), milliseconds(4)}};
+      {Fingerprint{1}, CrashId{2}, true, milliseconds(3), milliseconds(4),
+       milliseconds(0)},
+      {Fingerprint{5}, CrashId{2}, false, milliseconds(3), milliseconds(4)}};
   const auto decoded = DecodeEntryMessage(Encode(message));
   BOOST_REQUIRE(decoded);
   BOOST_TEST(!decoded->IsAboutSender());
-  BOOST_REQUIRE(decoded->strikes.size() == 1U);
+  BOOST_REQUIRE(decoded->strikes.size() == 2U);
   BOOST_TEST(decoded->strikes[0].fingerprint.value == 1U);
   BOOST_TEST(decoded->strikes[0].crash.value == 2U);
   BOOST_TEST(decoded->strikes[0].cleared);
   BOOST_TEST((decoded->strikes[0].age == milliseconds(3)));
   BOOST_TEST((decoded->strikes[0].last_seen_age == milliseconds(4)));
+  BOOST_TEST((decoded->strikes[0].completed_age == milliseconds(0)));
+  BOOST_TEST(!decoded->strikes[1].completed_age);
 }
 
 }  // namespace
--- a/test/quarantine_test.cc
+++ b/test/quarantine_test.cc
@@ -94,7 +94,9 @@
       RC_ASSERT(!peers[peer].HasStrike(kBad));
     }
   }
-  for (std::size_t i = 0; i < 4; ++i) {
+  // A second round, since a peer adds to what it receives when the request has
+  // completed there.
+  for (std::size_t i = 0; i < 7; ++i) {
     exchange(i % 3, (i + 1) % 3);
   }
   exchange(1, 0);
@@ -224,6 +226,62 @@
   }
 }
 
+// A process with the options of a gateway, which exchanges strikes with the one
+// of the fixture.
+struct TwoProcessesFixture : PartsFixture {
+  void SendAll() {
+    this->other.Import(this->quarantine.Export(kMaxReports));
+    this->quarantine.Import(this->other.Export(kMaxReports));
+  }
+
+  static constexpr std::size_t kMaxReports = 16;
+  Quarantine other{this->clock, {.common_failure_time = 300ms}};
+};
+
+// Guards against a part that is blamed for targets that failed together by a
+// process that rarely gets requests with it.
+BOOST_FIXTURE_TEST_CASE(BlamesAPartThatCompletesAtAnotherProcess,
+                        TwoProcessesFixture) {
+  this->other.OnCompleted(kFirst);
+  for (int i = 0; i < 4; ++i) {
+    this->Crash({kFirst}, 50ms);
+  }
+  this->SendAll();
+  BOOST_TEST(!Is<RefuseQuarantined>(this->OnRequest({kFirst})));
+}
+
+// Guards against a part that stays refused where it cannot complete any more.
+BOOST_FIXTURE_TEST_CASE(KeepsStrikesOfAPartThatCompletedAtAnotherProcessSince,
+                        TwoProcessesFixture) {
+  for (int i = 0; i < 4; ++i) {
+    this->Crash({kFirst});
+  }
+  this->clock.Advance(1s);
+  this->other.OnCompleted(kFirst);
+  this->SendAll();
+  BOOST_TEST(Is<RunNormally>(this->OnRequest({kFirst})));
+  BOOST_TEST(!this->quarantine.HasSuspects());
+}
+
+// Guards against news of a completion that does not fit into a message because
+// many others were in flight at the crashes.
+BOOST_FIXTURE_TEST_CASE(CompletionIsNotToldBesideManyBystanders,
+                        TwoProcessesFixture) {
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    std::vector<Fingerprint> in_flight = {kFirst};
+    for (std::uint64_t bystander = 0; bystander < 20; ++bystander) {
+      in_flight.push_back(Fingerprint{1000 + 20 * i + bystander});
+    }
+    this->Crash(in_flight);
+    this->other.Import(this->quarantine.Export(kMaxReports));
+  }
+  this->clock.Advance(1s);
+  this->quarantine.OnCompleted(kFirst);
+  this->other.Import(this->quarantine.Export(kMaxReports));
+  const std::vector<Fingerprint> parts = {kFirst};
+  BOOST_TEST(Is<RunNormally>(this->other.OnRequest(parts)));
+}
+
 // Guards against a part that is refused for good, and against trials that cost
 // a target each time.
 BOOST_FIXTURE_TEST_CASE(AllowsTrialsAtGrowingIntervals, PartsFixture) {
