Keep the causes of crashes when many other parts are remembered

What callers saw: not seen by callers; found while reading. After crashes of many targets with many requests in flight, an entry could forget the cause of earlier crashes, and if it held the lease remove it from the log, which clears it at all. Cause: of more than 1,024 parts the one seen least recently was forgotten, whatever its strikes. Change: parts whose strikes have their requests refused are forgotten last.

--- a/include/pimentospar/quarantine.h
+++ b/include/pimentospar/quarantine.h
@@ -152,6 +152,10 @@
   void Merge(RequestRecord& record, const Strike& strike);
   void RecordCompletion(RequestRecord& record, TimePoint completed_at);
   void DropExpired();
+  void Erase(RecordList::iterator record);
+  /// Returns the record that is seen least recently, but rather one whose
+  /// requests are not refused.
+  [[nodiscard]] RecordList::iterator FindLeastUseful();
   /// Returns whether the fingerprint is a likely cause of several crashes.
   [[nodiscard]] bool IsSuspect(const RequestRecord& record) const;
   void AppendReports(const RequestRecord& record,
--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -155,14 +155,30 @@
 void Quarantine::DropExpired() {
   const TimePoint now = this->clock.Now();
   while (!this->records.empty() &&
-         (this->records.size() > this->options.max_fingerprints ||
-          now - this->records.back().last_seen >= this->options.retention)) {
-    this->index.erase(this->records.back().fingerprint);
-    this->records.pop_back();
-    ++this->version;
+         now - this->records.back().last_seen >= this->options.retention) {
+    this->Erase(std::prev(this->records.end()));
+  }
+  while (this->records.size() > this->options.max_fingerprints) {
+    this->Erase(this->FindLeastUseful());
   }
 }
 
+void Quarantine::Erase(RecordList::iterator record) {
+  this->index.erase(record->fingerprint);
+  this->records.erase(record);
+  ++this->version;
+}
+
+Quarantine::RecordList::iterator Quarantine::FindLeastUseful() {
+  const auto least_useful = std::find_if(
+      this->records.rbegin(), this->records.rend(),
+      [this](const RequestRecord& record) {
+        return CountActiveStrikes(record) < this->options.strikes_to_refuse;
+      });
+  return least_useful == this->records.rend() ? std::prev(this->records.end())
+                                              : std::prev(least_useful.base());
+}
+
 void Quarantine::MarkSeen(RecordList::iterator record, TimePoint seen) {
   if (seen <= record->last_seen) {
     return;
--- a/test/quarantine_test.cc
+++ b/test/quarantine_test.cc
@@ -282,6 +282,25 @@
   BOOST_TEST(Is<RunNormally>(this->other.OnRequest(parts)));
 }
 
+// Guards against a cause that is forgotten for the many parts that were in
+// flight at other crashes since.
+BOOST_AUTO_TEST_CASE(ForgetsACauseForBystanders) {
+  ManualClock clock;
+  Quarantine quarantine(clock, {.max_fingerprints = 8});
+  std::uint64_t crashes = 0;
+  while (crashes < 3) {
+    quarantine.OnCrash(CrashId{++crashes}, std::vector{kDeadly});
+    clock.Advance(1s);
+  }
+  while (crashes < 20) {
+    ++crashes;
+    quarantine.OnCrash(CrashId{crashes}, std::vector{Fingerprint{crashes}});
+    clock.Advance(1s);
+  }
+  BOOST_TEST(Is<RefuseQuarantined>(quarantine.OnRequest(std::vector{kDeadly})));
+  BOOST_TEST(quarantine.Size() == 8U);
+}
+
 // Guards against a part that is refused for good, and against trials that cost
 // a target each time.
 BOOST_FIXTURE_TEST_CASE(AllowsTrialsAtGrowingIntervals, PartsFixture) {
