Load copies elsewhere that only targets with a limit have

Cause: the planner counted a copy at a target with a limit like any other, and a request that found no turn told nobody that it lacked a copy. Change: a request without a turn waits for a copy at a target without a limit, if there is one, as for a copy that no target has. The planner then loads it there; such a copy counts as the last one though limited targets have others, and limited targets are the last choice for loads. LeavesAModelToAnEngineWithALimit and LeavesAnAdapterToAnEngineWithALimit fail if the planner does not see limits (tried); UnloadsTheOnlyCopyAtAnEngineWithoutALimit guards the loss of an unload.

--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -12,6 +12,7 @@
 
 #include "pimentospar/clock.h"
 #include "pimentospar/routing/route_table.h"
+#include "pimentospar/routing/target_limits.h"
 #include "pimentospar/routing/target_selector.h"
 #include "pimentospar/types.h"
 
@@ -124,7 +125,7 @@
 /// is for deployments where a load takes minutes and the last copy of a model
 /// must not be unloaded.
 ///
-///     planner.OnTargets(selector.Targets());
+///     planner.OnTargets(selector.Targets(), limits);
 ///     planner.OnDemand(demand);
 ///     for (const PlannedOrder& order : planner.Step()) { ... }
 ///     planner.OnOrderEnd(order.target, PlannedOrderOutcome::kDone);
@@ -135,7 +136,10 @@
 
   /// Replaces the services whose engines load models.
   void OnServices(std::span<const ServiceSpec> services);
-  void OnTargets(std::span<const TargetDescription> targets);
+  /// Replaces the engines. One with a limit takes too few requests to count as
+  /// a place for copies that requests wait for.
+  void OnTargets(std::span<const TargetDescription> targets,
+                 const TargetLimits& limits);
   void OnDemand(const CopyDemand& demand);
   /// A request currently waits for the copy.
   void OnWanted(const ServiceCopy& copy);
@@ -155,6 +159,8 @@
     TargetId id;
     ServiceId service;
     bool usable = false;
+    /// True if the target has named a limit of requests per second.
+    bool limited = false;
     std::int64_t started_ms = 0;
     std::vector<LoadedModel> models;
     std::optional<PlannedOrder> pending;
@@ -183,6 +189,9 @@
     std::size_t ready = 0;
     /// `ready`, and those that are being loaded or that memory is freed for.
     std::size_t expected = 0;
+    /// Of these, those at engines without a limit.
+    std::size_t ready_without_limit = 0;
+    std::size_t expected_without_limit = 0;
     /// Loaded at the engines for short and for other prompts.
     std::size_t at_short_prompt_engines = 0;
     std::size_t at_other_engines = 0;
@@ -191,6 +200,8 @@
     ServiceCopy copy;
     double gain = 0;
     OrderReason reason = OrderReason::kWanted;
+    /// True if the copies at engines with a limit do not suffice.
+    bool needs_engine_without_limit = false;
   };
   struct LoadSite {
     EngineState* engine = nullptr;
@@ -216,6 +227,12 @@
   /// first. Copies that are being loaded, or that memory is being freed for,
   /// count as existing ones.
   [[nodiscard]] std::vector<CopyNeed> FindCopyNeeds(const ServiceSpec& service);
+  [[nodiscard]] bool HasEngineWithoutLimit(const ServiceId& service) const;
+  /// Returns whether requests wait for the model although engines with a limit
+  /// have loaded it, and another engine could load it.
+  [[nodiscard]] bool LacksCopyWithoutLimit(
+      const ServiceCopy& model,
+      const CopyDemandState& demand_state) const;
   /// Returns how many adapters of the model were used recently.
   [[nodiscard]] std::size_t CountAdaptersInUse(const ServiceCopy& model) const;
   [[nodiscard]] Duration RequiredAdapterIdle(
@@ -224,7 +241,8 @@
   /// nothing if no engine can load it now. A local copy at the engine counts
   /// like a loss that is smaller by `local_copy_gain`.
   [[nodiscard]] std::optional<LoadSite> FindLoadSite(const ServiceSpec& service,
-                                                     const ModelSpec& model);
+                                                     const ModelSpec& model,
+                                                     const CopyNeed& need);
   /// Returns whether the model fits in the engine's memory beside the adapter
   /// memory and the loaded models other than `without`.
   [[nodiscard]] bool Fits(const EngineSpec& spec,
@@ -248,6 +266,7 @@
                   std::vector<PlannedOrder>& orders);
   void PlanAdapters(const ServiceSpec& service,
                     std::vector<PlannedOrder>& orders);
+  [[nodiscard]] bool IsModelLoadedWithoutLimit(const ServiceCopy& copy) const;
   void PlaceAdapter(const ServiceSpec& service,
                     const ServiceCopy& wanted,
                     std::vector<PlannedOrder>& orders);
--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -144,6 +144,8 @@
 struct AllTargetsLimited {
   /// Time until one of them may take a request.
   Duration retry_after{0};
+  /// What targets without a limit lack to serve the request, if there are any.
+  std::optional<CopyNotLoaded> other_targets;
 };
 /// The result of a selection.
 using TargetSelection = std::variant<SelectedTarget,
@@ -288,6 +290,11 @@
                                         TimePoint now) const;
   [[nodiscard]] TargetSelection ExplainNoCandidate(const TargetQuery& query,
                                                    TimePoint now) const;
+  /// Returns what the targets without a limit that run the service lack to
+  /// serve the request; nothing if there are none.
+  [[nodiscard]] std::optional<CopyNotLoaded> MissingWithoutLimit(
+      const TargetQuery& query,
+      TimePoint now) const;
   void EraseRemovedTargets(TimePoint now);
   void UpdatePromptSplit(const ServiceId& service, TimePoint now);
   [[nodiscard]] Duration PromptSplitCost(const KnownTarget& target,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -149,9 +149,9 @@
   KeyedStreamWatcher entry_watcher;
   EntryTransport entry_transport;
   LeaseManager lease;
+  RateLimitCoordinator rate_limits;
   OrderDispatcher order_dispatcher;
   StrikeExchange strike_exchange;
-  RateLimitCoordinator rate_limits;
   RequestDependencies request_dependencies;
   CallerServer caller_server;
   CallerServer readiness_server;
--- a/src/gateway/order_dispatcher.cc
+++ b/src/gateway/order_dispatcher.cc
@@ -55,6 +55,7 @@
                                  const Clock& clock,
                                  LeaseManager& lease,
                                  TargetSelector& targets,
+                                 const TargetLimits& limits,
                                  FiberSignal& targets_changed,
                                  TargetControl& control,
                                  Metrics& metrics,
@@ -63,6 +64,7 @@
       clock(clock),
       lease(lease),
       targets(targets),
+      limits(limits),
       targets_changed(targets_changed),
       control(control),
       metrics(metrics),
@@ -185,14 +187,15 @@
   for (const auto& [id, known] : this->known) {
     const TargetDescription* target = this->targets.Find(id);
     if (target != nullptr && target->service == copy.service &&
-        !target->draining && HasCopy(known.inventory, copy.copy)) {
+        !target->draining && HasCopy(known.inventory, copy.copy) &&
+        !this->limits.Find(id, known.inventory.started_ms)) {
       this->ScheduleRefresh(id);
     }
   }
 }
 
 void OrderDispatcher::Plan() {
-  this->planner.OnTargets(this->EnginesWithKnownState());
+  this->planner.OnTargets(this->EnginesWithKnownState(), this->limits);
   const TimePoint now = this->clock.Now();
   const bool is_full = now - this->full_plan_at >= kPlanInterval;
   if (is_full) {
--- a/src/gateway/order_dispatcher.h
+++ b/src/gateway/order_dispatcher.h
@@ -29,6 +29,7 @@
                   const Clock& clock,
                   LeaseManager& lease,
                   TargetSelector& targets,
+                  const TargetLimits& limits,
                   FiberSignal& targets_changed,
                   TargetControl& control,
                   Metrics& metrics,
@@ -79,7 +80,8 @@
   /// that no entry sends requests for it.
   void PublishRemoval(const PlannedOrder& order);
   /// Schedules a read of the state of the targets that are thought to hold the
-  /// copy, since a request waits for it nevertheless.
+  /// copy, since a request waits for it nevertheless. At targets with a limit
+  /// it waits for its turn.
   void RefreshTargetsWithCopy(const ServiceCopy& copy);
   [[nodiscard]] Duration ExpectedDuration(const PlannedOrder& order) const;
 
@@ -87,6 +89,7 @@
   const Clock& clock;
   LeaseManager& lease;
   TargetSelector& targets;
+  const TargetLimits& limits;
   FiberSignal& targets_changed;
   TargetControl& control;
   Metrics& metrics;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -43,6 +43,16 @@
 constexpr std::chrono::microseconds kPromptTokenWork{26};
 constexpr unsigned kMisdirectedRequest = 421;
 
+// Returns what a load would have to bring so that a target could take the
+// request; nothing if no load helps.
+std::optional<CopyNotLoaded> MissingCopy(const TargetSelection& selection) {
+  if (const auto* limited = std::get_if<AllTargetsLimited>(&selection)) {
+    return limited->other_targets;
+  }
+  const auto* missing = std::get_if<CopyNotLoaded>(&selection);
+  return missing == nullptr ? std::nullopt : std::optional(*missing);
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -207,8 +217,8 @@
       }
       continue;
     }
-    const auto* missing = std::get_if<CopyNotLoaded>(&selection);
-    if (missing == nullptr || !this->WaitForCopy(missing->model_loaded)) {
+    const auto missing = MissingCopy(selection);
+    if (!missing || !this->WaitForCopy(missing->model_loaded)) {
       return std::nullopt;
     }
   }
--- a/src/planning/copy_planner.cc
+++ b/src/planning/copy_planner.cc
@@ -15,6 +15,9 @@
 // Loss of another copy at the engines for one range of prompt lengths while the
 // other engines have none.
 constexpr double kSameGroupLoss = 0.05;
+// Loss of a copy at an engine with a limit, which serves few requests, if other
+// engines have none.
+constexpr double kLimitedEngineLoss = 0.15;
 // Loss of unloading any copy, so that free memory is preferred.
 constexpr double kMinUnloadLoss = 0.01;
 // Demand that has decayed below this many requests counts as none.
@@ -58,7 +61,8 @@
   }
 }
 
-void CopyPlanner::OnTargets(std::span<const TargetDescription> targets) {
+void CopyPlanner::OnTargets(std::span<const TargetDescription> targets,
+                            const TargetLimits& limits) {
   std::set<TargetId> seen;
   const TimePoint now = this->clock.Now();
   for (const TargetDescription& target : targets) {
@@ -71,6 +75,8 @@
     engine.id = target.id;
     engine.service = target.service;
     engine.usable = !target.draining;
+    engine.limited =
+        limits.Find(target.id, target.inventory.started_ms).has_value();
     engine.started_ms = target.inventory.started_ms;
     engine.models = target.inventory.models;
     for (const LoadedModel& loaded : engine.models) {
@@ -186,11 +192,14 @@
       continue;
     }
     const double utilization = this->Utilization(copy);
-    if (copies == 0 &&
-        (utilization > 0 || this->IsWanted(demand_state->second))) {
+    const bool needs_engine_without_limit =
+        copies > 0 && this->LacksCopyWithoutLimit(copy, demand_state->second);
+    if (needs_engine_without_limit ||
+        (copies == 0 &&
+         (utilization > 0 || this->IsWanted(demand_state->second)))) {
       needs.push_back({copy,
                        this->FirstCopyGain(demand_state->second, utilization),
-                       OrderReason::kWanted});
+                       OrderReason::kWanted, needs_engine_without_limit});
       continue;
     }
     demand_state->second.missing_since.reset();
@@ -220,7 +229,10 @@
 double CopyPlanner::UnloadLoss(const EngineState& engine,
                                const ModelId& model) const {
   const ServiceCopy copy{engine.service, {model, {}}};
-  const auto copies = static_cast<double>(this->CountCopies(copy).ready);
+  const CopyCounts counts = this->CountCopies(copy);
+  // Copies at engines with a limit cannot replace one at another engine.
+  const auto copies = static_cast<double>(
+      engine.limited ? counts.ready : counts.ready_without_limit);
   const double utilization = this->Utilization(copy);
   if (copies <= 1) {
     return utilization > 0 ? this->options.last_copy_value + 3 * utilization
@@ -257,8 +269,11 @@
 
 std::optional<CopyPlanner::LoadSite> CopyPlanner::FindLoadSite(
     const ServiceSpec& service,
-    const ModelSpec& model) {
+    const ModelSpec& model,
+    const CopyNeed& need) {
   std::optional<LoadSite> best;
+  const double limit_loss =
+      this->HasEngineWithoutLimit(service.id) ? kLimitedEngineLoss : 0;
   const TimePoint now = this->clock.Now();
   // Loading from a local copy saves most of the time and the cost of a load.
   const auto cost_of = [this](const LoadSite& site) {
@@ -272,12 +287,14 @@
   };
   for (auto& [id, engine] : this->engines) {
     if (engine.service != service.id || !this->IsFree(engine) ||
-        FindModel(engine.models, model.id) != nullptr) {
+        FindModel(engine.models, model.id) != nullptr ||
+        (need.needs_engine_without_limit && engine.limited)) {
       continue;
     }
     const bool has_local_copy = engine.local_copies.contains(model.id);
-    const double group_loss =
-        this->HasCopiesOnlyInGroupOf(engine, model.id) ? kSameGroupLoss : 0;
+    const double engine_loss =
+        (this->HasCopiesOnlyInGroupOf(engine, model.id) ? kSameGroupLoss : 0) +
+        (engine.limited ? limit_loss : 0);
     if (engine.reserved_for && now < engine.reserved_until &&
         !this->IsReservedFor(engine, model.id)) {
       continue;
@@ -291,7 +308,7 @@
                                           this->CountCopies(copy).expected, 1));
       }
       // Prefers the least utilized of the engines with free memory.
-      consider({&engine, std::nullopt, group_loss + engine_utilization / 1000,
+      consider({&engine, std::nullopt, engine_loss + engine_utilization / 1000,
                 has_local_copy});
       continue;
     }
@@ -304,10 +321,10 @@
           !this->Fits(*service.engine, engine, model, loaded.model)) {
         continue;
       }
-      consider(
-          {&engine, loaded.model,
-           group_loss + kMinUnloadLoss + this->UnloadLoss(engine, loaded.model),
-           has_local_copy});
+      consider({&engine, loaded.model,
+                engine_loss + kMinUnloadLoss +
+                    this->UnloadLoss(engine, loaded.model),
+                has_local_copy});
     }
   }
   return best;
@@ -382,7 +399,7 @@
                              std::vector<PlannedOrder>& orders) {
   for (const CopyNeed& need : this->FindCopyNeeds(service)) {
     const ModelSpec& model = *service.engine->FindModel(need.copy.copy.model);
-    const auto site = this->FindLoadSite(service, model);
+    const auto site = this->FindLoadSite(service, model, need);
     if (!site || need.gain <= site->loss + this->options.load_cost) {
       continue;
     }
--- a/src/planning/copy_planner_adapters.cc
+++ b/src/planning/copy_planner_adapters.cc
@@ -55,10 +55,20 @@
          slots * this->options.add_copy_slot_share;
 }
 
+bool CopyPlanner::IsModelLoadedWithoutLimit(const ServiceCopy& copy) const {
+  return std::ranges::any_of(this->engines, [&copy](const auto& entry) {
+    const EngineState& engine = entry.second;
+    return engine.service == copy.service && engine.usable && !engine.limited &&
+           FindModel(engine.models, copy.copy.model) != nullptr;
+  });
+}
+
 void CopyPlanner::PlaceAdapter(const ServiceSpec& service,
                                const ServiceCopy& wanted,
                                std::vector<PlannedOrder>& orders) {
   const TimePoint now = this->clock.Now();
+  // A request that waits found no turn at the engines with a limit.
+  const bool skips_limited = this->IsModelLoadedWithoutLimit(wanted);
   EngineState* free_engine = nullptr;
   std::size_t fewest_adapters = service.engine->adapter_slots;
   EngineState* eviction_engine = nullptr;
@@ -66,7 +76,8 @@
   TimePoint least_recent_use =
       now - this->RequiredAdapterIdle(this->demand_states.at(wanted));
   for (auto& [id, engine] : this->engines) {
-    if (engine.service != service.id || !engine.usable) {
+    if (engine.service != service.id || !engine.usable ||
+        (skips_limited && engine.limited)) {
       continue;
     }
     if (engine.pending && engine.pending->copy == wanted.copy) {
--- a/src/planning/copy_planner_counts.cc
+++ b/src/planning/copy_planner_counts.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "pimentospar/planning/copy_planner.h"
 
 // Counts of the copies of each model.
@@ -31,6 +33,7 @@
           engine.pending->copy == CopyRef{loaded.model, {}};
       if (!is_unloading) {
         ++counts.ready;
+        counts.ready_without_limit += engine.limited ? 0 : 1;
         expected.insert(loaded.model);
       }
     }
@@ -42,11 +45,28 @@
       expected.insert(*engine.reserved_for);
     }
     for (const ModelId& model : expected) {
-      ++counts_of(model).expected;
+      CopyCounts& counts = counts_of(model);
+      ++counts.expected;
+      counts.expected_without_limit += engine.limited ? 0 : 1;
     }
   }
 }
 
+bool CopyPlanner::HasEngineWithoutLimit(const ServiceId& service) const {
+  return std::ranges::any_of(this->engines, [&service](const auto& entry) {
+    const EngineState& engine = entry.second;
+    return engine.service == service && engine.usable && !engine.limited;
+  });
+}
+
+bool CopyPlanner::LacksCopyWithoutLimit(
+    const ServiceCopy& model,
+    const CopyDemandState& demand_state) const {
+  return this->IsWanted(demand_state) &&
+         this->CountCopies(model).expected_without_limit == 0 &&
+         this->HasEngineWithoutLimit(model.service);
+}
+
 bool CopyPlanner::HasCopiesOnlyInGroupOf(const EngineState& engine,
                                          const ModelId& model) const {
   const CopyCounts counts =
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -273,6 +273,28 @@
   return runs_service ? TargetSelection(CopyNotLoaded{}) : NoUsableTarget{};
 }
 
+std::optional<CopyNotLoaded> TargetSelector::MissingWithoutLimit(
+    const TargetQuery& query,
+    TimePoint now) const {
+  if (query.copy.model.IsEmpty()) {
+    return std::nullopt;
+  }
+  std::optional<CopyNotLoaded> missing;
+  for (const auto& [id, target] : this->targets) {
+    const TargetDescription& description = target.description;
+    if (description.service != query.service || !this->IsUsable(target, now) ||
+        FindLimit(target, query) ||
+        HasCopy(description.inventory, query.copy)) {
+      continue;
+    }
+    missing = missing.value_or(CopyNotLoaded{});
+    missing->model_loaded =
+        missing->model_loaded ||
+        HasCopy(description.inventory, {query.copy.model, {}});
+  }
+  return missing;
+}
+
 std::optional<double> TargetSelector::FindLimit(const KnownTarget& target,
                                                 const TargetQuery& query) {
   if (query.limits == nullptr) {
@@ -308,7 +330,7 @@
     const std::optional<double> limit = FindLimit(*target, query);
     if (limit && now < target->permit_denied_until) {
       const Duration wait = target->permit_denied_until - now;
-      limited = {limited ? std::min(limited->retry_after, wait) : wait};
+      limited = {limited ? std::min(limited->retry_after, wait) : wait, {}};
       continue;
     }
     estimate.cost += limit ? this->options.limited_target_cost : Duration(0);
@@ -339,8 +361,12 @@
   if (best == nullptr && overloaded) {
     return *overloaded;
   }
+  if (best == nullptr && limited) {
+    limited->other_targets = this->MissingWithoutLimit(query, now);
+    return *limited;
+  }
   if (best == nullptr) {
-    return limited ? *limited : this->ExplainNoCandidate(query, now);
+    return this->ExplainNoCandidate(query, now);
   }
   return SelectedTarget{
       best->description.id,
--- a/test/copy_planner_test.cc
+++ b/test/copy_planner_test.cc
@@ -55,7 +55,7 @@
     for (const auto& [name, target] : this->targets) {
       all.push_back(target);
     }
-    this->planner.OnTargets(all);
+    this->planner.OnTargets(all, this->limits);
     return this->planner.Step();
   }
 
@@ -95,8 +95,13 @@
              std::chrono::duration<double>(engine_seconds))});
   }
 
+  void Limit(const std::string& engine) {
+    this->limits.OnResponse(TargetId(engine), 1, 0.5);
+  }
+
   ManualClock clock;
   CopyPlanner planner{clock, {}};
+  TargetLimits limits{clock};
   std::map<std::string, TargetDescription> targets;
 };
 
@@ -245,6 +250,68 @@
   BOOST_TEST(orders[0].copy.model.value == "m0");
 }
 
+// Guards against requests for a model that are refused because its only copy is
+// at an engine that takes few of them, while other engines could load it.
+BOOST_FIXTURE_TEST_CASE(LeavesAModelToAnEngineWithALimit, Fixture) {
+  this->Load("t0", "m0");
+  this->Limit("t0");
+  this->Limit("t1");
+  this->Demand("m0", 0.1);
+  BOOST_TEST(this->Step().empty());
+  this->Want(Copy("m0"));
+  const auto orders = this->Step();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].target.value == "t2");
+  BOOST_TEST(orders[0].copy.model.value == "m0");
+  BOOST_TEST(this->Step().empty());
+}
+
+// Guards against a load at another engine for each request that waits, once one
+// has the model, and against copies that are moved to and fro.
+BOOST_FIXTURE_TEST_CASE(UnloadsTheOnlyCopyAtAnEngineWithoutALimit, Fixture) {
+  this->Load("t0", "m0");
+  this->Load("t0", "m1");
+  this->Load("t1", "m2");
+  this->Load("t1", "m3");
+  this->Load("t2", "m0");
+  this->Load("t2", "m1");
+  this->Limit("t0");
+  this->Limit("t1");
+  this->Demand("m0", 0.3);
+  this->Demand("m1", 0.3);
+  this->Demand("m2", 0.1);
+  this->clock.Advance(seconds(5));
+  this->Want(Copy("m0"));
+  this->Want(Copy("m1"));
+  this->Want(Copy("m2"));
+  BOOST_TEST(this->Step().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(LeavesAnAdapterToAnEngineWithALimit, Fixture) {
+  this->Load("t0", "m0");
+  this->Load("t1", "m0");
+  this->Engine("t0").inventory.models[0].adapters = {AdapterId("a1")};
+  this->Limit("t0");
+  this->Want(Copy("m0", "a1"));
+  const auto orders = this->Step();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].target.value == "t1");
+  BOOST_TEST(orders[0].copy.adapter.value == "a1");
+}
+
+// Guards against models that nobody loads because all engines have a limit.
+BOOST_FIXTURE_TEST_CASE(LoadsAtEnginesWithALimitIfThereAreNoOthers, Fixture) {
+  for (const char* engine : {"t0", "t1", "t2"}) {
+    this->Limit(engine);
+  }
+  this->Load("t0", "m0");
+  this->Want(Copy("m0"));
+  this->Want(Copy("m2"));
+  const auto orders = this->Step();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST(orders[0].copy.model.value == "m2");
+}
+
 BOOST_FIXTURE_TEST_CASE(PlansNothingAtDrainingEngines, Fixture) {
   for (auto& [name, target] : this->targets) {
     target.draining = true;
--- a/test/gateway/order_dispatcher_test.cc
+++ b/test/gateway/order_dispatcher_test.cc
@@ -75,8 +75,8 @@
                                                  this->random, InstanceId{1},
                                                  "h", this->log, lease_options);
     this->dispatcher = std::make_unique<OrderDispatcher>(
-        Loop(), this->clock, *this->lease, this->targets, this->targets_changed,
-        this->control, this->metrics,
+        Loop(), this->clock, *this->lease, this->targets, this->limits,
+        this->targets_changed, this->control, this->metrics,
         [this](const std::vector<TargetInventory>& published) {
           this->published.insert(this->published.end(), published.begin(),
                                  published.end());
@@ -125,6 +125,7 @@
   SystemClock clock;
   SeededRandom random{2};
   TargetSelector targets{clock, random, {}};
+  TargetLimits limits{clock};
   FiberSignal targets_changed;
   FakeTargetControl control;
   Metrics metrics;
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -264,6 +264,36 @@
   BOOST_TEST(this->SelectedName(query) == "limited");
 }
 
+// Guards against requests that are refused although another target could load
+// what they need, and against waits for a load that nobody can do.
+BOOST_FIXTURE_TEST_CASE(TellsWhatTargetsWithoutALimitLack, Fixture) {
+  TargetLimits limits(this->clock);
+  TargetDescription limited = Target("limited");
+  limited.inventory.models = {{ModelId("m"), {AdapterId("a")}}};
+  this->selector.OnTarget(limited);
+  limits.OnResponse(TargetId("limited"), 1, 2);
+  TargetQuery query = this->Query();
+  query.copy = {ModelId("m"), AdapterId("a")};
+  query.limits = &limits;
+  this->selector.OnPermitDenied(TargetId("limited"),
+                                this->clock.Now() + seconds(60));
+  const auto other_targets = [&] {
+    return std::get<AllTargetsLimited>(this->selector.Select(query))
+        .other_targets;
+  };
+  BOOST_TEST(!other_targets());
+  TargetDescription other = Target("other");
+  other.inventory.models = {};
+  this->selector.OnTarget(other);
+  BOOST_REQUIRE(other_targets());
+  BOOST_TEST(!other_targets()->model_loaded);
+  TargetDescription third = Target("third");
+  third.inventory.models = {{ModelId("m"), {}}};
+  this->selector.OnTarget(third);
+  BOOST_REQUIRE(other_targets());
+  BOOST_TEST(other_targets()->model_loaded);
+}
+
 // Guards against a restarted target that gets no requests for a limit that it
 // named before.
 BOOST_FIXTURE_TEST_CASE(ForgetsTheLimitOfAnEarlierStart, Fixture) {
