--- /dev/null
+++ b/include/pimentospar/fingerprint.h
@@ -0,0 +1,37 @@
+#ifndef INCLUDE_PIMENTOSPAR_FINGERPRINT_H_
+#define INCLUDE_PIMENTOSPAR_FINGERPRINT_H_
+
+#include <string>
+#include <string_view>
+
+#include "pimentospar/types.h"
+
+namespace pimentospar {
+
+/// Returns a canonical form of a JSON text, with sorted keys and without
+/// optional white space; a text that is not JSON is returned unchanged.
+[[nodiscard]] std::string CanonicalBody(std::string_view body);
+
+/// Returns the fingerprint of a request to a model.
+[[nodiscard]] Fingerprint FingerprintOf(const OwnerId& owner,
+                                        const ModelId& model,
+                                        std::string_view body);
+/// Returns the fingerprint of a request to a service operation.
+[[nodiscard]] Fingerprint FingerprintOf(const OwnerId& owner,
+                                        const ServiceId& service,
+                                        const OperationId& operation,
+                                        std::string_view body);
+
+/// Returns the fingerprint of one part of a prompt, whatever the request holds
+/// besides.
+[[nodiscard]] Fingerprint FingerprintOfPromptPart(std::string_view part_id);
+
+/// Returns the fingerprint of an HTTP request of which nothing more is known.
+[[nodiscard]] Fingerprint FingerprintOfRequest(std::string_view method,
+                                               std::string_view host,
+                                               std::string_view target,
+                                               std::string_view body);
+
+}  // namespace pimentospar
+
+#endif  // INCLUDE_PIMENTOSPAR_FINGERPRINT_H_
--- a/include/pimentospar/quarantine.h
+++ b/include/pimentospar/quarantine.h
@@ -6,8 +6,6 @@
 #include <list>
 #include <optional>
 #include <span>
-#include <string>
-#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -24,30 +22,6 @@
 [[nodiscard]] CrashId CrashIdOf(const TargetId& target,
                                 std::uint64_t engine_incarnation);
 
-/// Returns a canonical form of a JSON text, with sorted keys and without
-/// optional white space; a text that is not JSON is returned unchanged.
-[[nodiscard]] std::string CanonicalBody(std::string_view body);
-
-/// Returns the fingerprint of a request to a model.
-[[nodiscard]] Fingerprint FingerprintOf(const OwnerId& owner,
-                                        const ModelId& model,
-                                        std::string_view body);
-/// Returns the fingerprint of a request to a service operation.
-[[nodiscard]] Fingerprint FingerprintOf(const OwnerId& owner,
-                                        const ServiceId& service,
-                                        const OperationId& operation,
-                                        std::string_view body);
-
-/// Returns the fingerprint of one part of a prompt, whatever the request holds
-/// besides.
-[[nodiscard]] Fingerprint FingerprintOfPromptPart(std::string_view part_id);
-
-/// Returns the fingerprint of an HTTP request of which nothing more is known.
-[[nodiscard]] Fingerprint FingerprintOfRequest(std::string_view method,
-                                               std::string_view host,
-                                               std::string_view target,
-                                               std::string_view body);
-
 /// Limits and delays of a `Quarantine`.
 struct QuarantineOptions {
   std::size_t max_fingerprints = 4096;
--- a/src/entry/request.cc
+++ b/src/entry/request.cc
@@ -4,7 +4,7 @@
 #include <charconv>
 
 #include "pimentospar/digest.h"
-#include "pimentospar/quarantine.h"
+#include "pimentospar/fingerprint.h"
 
 namespace pimentospar {
 
--- a/src/gateway/request_handler_crash.cc
+++ b/src/gateway/request_handler_crash.cc
@@ -1,6 +1,7 @@
 #include <boost/asio/error.hpp>
 
 #include "gateway/request_handler.h"
+#include "pimentospar/fingerprint.h"
 
 // Whether the request crashes its targets.
 namespace pimentospar {
--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -1,7 +1,6 @@
 #include "pimentospar/quarantine.h"
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <functional>
 #include <ranges>
 #include <tuple>
@@ -12,8 +11,6 @@
 
 namespace {
 
-namespace json = boost::json;
-
 // A request is refused after far fewer strikes.
 constexpr std::size_t kMaxStrikesKept = 32;
 // A request that is this many strikes short of refusal is not sent again after
@@ -25,54 +22,6 @@
 // Limit on the doublings of the time between trials.
 constexpr std::uint32_t kMaxTrialDoublings = 8;
 
-void AppendCanonical(const json::value& value, std::string& text) {
-  if (const auto* array = value.if_array()) {
-    text += '[';
-    for (const auto& element : *array) {
-      AppendCanonical(element, text);
-      text += ',';
-    }
-    text += ']';
-    return;
-  }
-  const auto* object = value.if_object();
-  if (object == nullptr) {
-    text += json::serialize(value);
-    return;
-  }
-  std::vector<std::string_view> keys;
-  for (const auto& member : *object) {
-    keys.emplace_back(member.key());
-  }
-  std::ranges::sort(keys);
-  text += '{';
-  for (const std::string_view key : keys) {
-    text += json::serialize(json::string(key));
-    text += ':';
-    AppendCanonical(object->at(key), text);
-    text += ',';
-  }
-  text += '}';
-}
-
-// The length prefix makes the encoding unambiguous: ("ab", "c") and ("a", "bc")
-// hash differently.
-void AppendWithLength(std::string_view part, std::string& text) {
-  text += std::to_string(part.size());
-  text += ':';
-  text += part;
-}
-
-Fingerprint HashParts(std::initializer_list<std::string_view> parts,
-                      std::string_view body) {
-  std::string text;
-  for (const std::string_view part : parts) {
-    AppendWithLength(part, text);
-  }
-  text += CanonicalBody(body);
-  return Fingerprint{Hash64(text)};
-}
-
 std::chrono::milliseconds AgeOf(TimePoint now, TimePoint then) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(now - then);
 }
@@ -83,50 +32,6 @@
   return CrashId{Hash64(target.value, engine_incarnation)};
 }
 
-std::string CanonicalBody(std::string_view body) {
-  json::error_code error;
-  const json::value value = json::parse(body, error);
-  if (error) {
-    return std::string(body);
-  }
-  std::string text;
-  AppendCanonical(value, text);
-  return text;
-}
-
-Fingerprint FingerprintOf(const OwnerId& owner,
-                          const ModelId& model,
-                          std::string_view body) {
-  return HashParts({"model", owner.value, model.value}, body);
-}
-
-Fingerprint FingerprintOf(const OwnerId& owner,
-                          const ServiceId& service,
-                          const OperationId& operation,
-                          std::string_view body) {
-  return HashParts({"service", owner.value, service.value, operation.value},
-                   body);
-}
-
-Fingerprint FingerprintOfPromptPart(std::string_view part_id) {
-  std::string text;
-  AppendWithLength("prompt part", text);
-  AppendWithLength(part_id, text);
-  return Fingerprint{Hash64(text)};
-}
-
-Fingerprint FingerprintOfRequest(std::string_view method,
-                                 std::string_view host,
-                                 std::string_view target,
-                                 std::string_view body) {
-  std::string text;
-  for (const std::string_view part :
-       {std::string_view("http"), method, host, target, body}) {
-    AppendWithLength(part, text);
-  }
-  return Fingerprint{Hash64(text)};
-}
-
 Quarantine::Quarantine(const Clock& clock, const QuarantineOptions& options)
     : clock(clock), options(options), completions(options.max_fingerprints) {}
 
