--- a/test/gateway/crashing_request_test.cc
+++ b/test/gateway/crashing_request_test.cc
@@ -12,6 +12,7 @@
 using test::Eventually;
 using test::Fleet;
 using test::RawConnection;
+using test::RequestIdOf;
 using test::ScriptedTarget;
 
 constexpr std::string_view kDeadlyPart = "dead:100";
@@ -26,12 +27,6 @@
     R"("kind":"safe","service":"s","attempts":2,)"
     R"("timeout_ms":4000,"goal_ms":1000}]})";
 
-std::string RequestIdOf(const std::string& request) {
-  const std::string name = "X-Pimentospar-Request-Id: ";
-  const auto at = request.find(name) + name.size();
-  return request.substr(at, request.find('\r', at) - at);
-}
-
 std::string CompleteStream(const std::string& id) {
   const std::string body = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
   return "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " + id +
--- a/test/gateway/limited_target_test.cc
+++ b/test/gateway/limited_target_test.cc
@@ -14,6 +14,7 @@
 using test::Eventually;
 using test::Fleet;
 using test::RawConnection;
+using test::RequestIdOf;
 using test::ScriptedTarget;
 
 constexpr std::string_view kConfig =
@@ -27,12 +28,6 @@
 constexpr double kMaxExcess = 1.5;
 constexpr double kSlack = 5;
 
-std::string RequestIdOf(const std::string& request) {
-  const std::string name = "X-Pimentospar-Request-Id: ";
-  const auto at = request.find(name) + name.size();
-  return request.substr(at, request.find('\r', at) - at);
-}
-
 // A target that names a limit while `limited` is true, and records when it got
 // requests.
 class LimitedTarget {
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -14,20 +14,11 @@
 using test::Eventually;
 using test::Loop;
 using test::RawConnection;
+using test::RequestIdOf;
 using test::ScriptedTarget;
 
 constexpr std::string_view kStamp = "X-Pimentospar-Response-Stamp: s\r\n";
 
-std::string RequestIdOf(const std::string& request) {
-  const std::string name = "X-Pimentospar-Request-Id: ";
-  const auto at = request.find(name);
-  if (at == std::string::npos) {
-    return {};
-  }
-  return request.substr(at + name.size(),
-                        request.find('\r', at) - at - name.size());
-}
-
 std::string Response(const std::string& id,
                      std::string_view body,
                      std::string_view extra = kStamp,
--- a/test/gateway/support.h
+++ b/test/gateway/support.h
@@ -40,6 +40,17 @@
   return text.find(part) != std::string_view::npos;
 }
 
+/// Returns the ID of a request as it arrives at a target, or an empty string.
+inline std::string RequestIdOf(const std::string& request) {
+  const std::string name = "X-Pimentospar-Request-Id: ";
+  const auto at = request.find(name);
+  if (at == std::string::npos) {
+    return {};
+  }
+  return request.substr(at + name.size(),
+                        request.find('\r', at) - at - name.size());
+}
+
 inline std::size_t Count(std::string_view text, std::string_view part) {
   std::size_t count = 0;
   for (auto at = text.find(part); at != std::string_view::npos;
