--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/beast/http/verb.hpp>
 
+#include "gateway/silence_timer.h"
 #include "net/log_line.h"
 
 namespace pimentospar {
@@ -30,9 +31,6 @@
 // A resumable stream continues at another target after this time without an
 // event.
 constexpr std::chrono::milliseconds kEventTimeout{1500};
-// How often it is checked whether another target can take over from a silent
-// one.
-constexpr std::chrono::milliseconds kStallCheckInterval{250};
 // An overload rarely ends sooner than this; a longer wait would only delay the
 // refusal.
 constexpr std::chrono::milliseconds kMaxOverloadWait{200};
@@ -344,17 +342,11 @@
   attempt.exchange->Send(this->BuildRequestHead(attempt), this->body);
   bool has_head = false;
   {
-    UpstreamExchange& exchange = *attempt.exchange;
-    const TimePoint sent_at = this->last_sent_at;
-    const RepeatingTimer timer(
-        this->deps.timers, this->FirstByteTimeout(attempt.target),
-        kStallCheckInterval, [this, &exchange, sent_at] {
-          const bool abandoned = this->TryReserveRetry(
-              this->run_count + 1, this->deps.clock.Now() - sent_at);
-          if (abandoned) {
-            exchange.Cancel();
-          }
-          return abandoned;
+    const SilenceTimer timer(
+        this->deps.timers, this->deps.clock, *attempt.exchange,
+        this->last_sent_at, this->FirstByteTimeout(attempt.target),
+        [this](Duration silence) {
+          return this->TryReserveRetry(this->run_count + 1, silence);
         });
     has_head = this->ReadMatchingHead(attempt);
   }
--- a/src/gateway/response_forwarder.cc
+++ b/src/gateway/response_forwarder.cc
@@ -9,8 +9,6 @@
 
 // An event that is longer is not a valid part of a stream.
 constexpr std::size_t kMaxEventBytes = 1ULL << 20;
-// How often it is checked whether a stalled stream may be given up.
-constexpr std::chrono::milliseconds kStallCheckInterval{250};
 
 }  // namespace
 
@@ -97,16 +95,8 @@
                                                Duration idle_timeout,
                                                const AbandonCheck& may_abandon,
                                                std::string_view& data) {
-  const Duration left = last_event_at + idle_timeout - this->clock.Now();
-  const RepeatingTimer timer(
-      this->timers, left, kStallCheckInterval,
-      [this, &exchange, &may_abandon, last_event_at] {
-        const bool abandoned = may_abandon(this->clock.Now() - last_event_at);
-        if (abandoned) {
-          exchange.Cancel();
-        }
-        return abandoned;
-      });
+  const SilenceTimer timer(this->timers, this->clock, exchange, last_event_at,
+                           idle_timeout, may_abandon);
   const BodyReadResult part = exchange.ReadBody(data);
   if (part != BodyReadResult::kData) {
     data = {};
--- a/src/gateway/response_forwarder.h
+++ b/src/gateway/response_forwarder.h
@@ -7,6 +7,7 @@
 
 #include "gateway/caller_channel.h"
 #include "gateway/caller_server.h"
+#include "gateway/silence_timer.h"
 #include "gateway/upstream.h"
 #include "pimentospar/routing/event_stream.h"
 
@@ -40,10 +41,6 @@
                     std::optional<std::uint64_t> last_event,
                     std::function<void(Duration)> on_event_interval);
 
-  /// Decides whether a stream may be given up that had no complete event for
-  /// this time.
-  using AbandonCheck = std::function<bool(Duration)>;
-
   /// Forwards events as they arrive, up to the end of the stream. If the target
   /// sends no complete event for `idle_timeout`, the stream is given up as soon
   /// as `may_abandon` returns true; until then, a slow target may go on.
