Report a copy that a request lacks once, not with each change

Cause: a request that waits ended and began its wait with each change of the targets, and each beginning sends a report. The holder answers with the inventories that have the copy, which is a change. Change: CopyWait lasts as long as the wait. The holder does not answer with the inventories of limited targets.

--- a/src/gateway/copy_demand_tracker.h
+++ b/src/gateway/copy_demand_tracker.h
@@ -15,11 +15,6 @@
  public:
   /// Counts a request for a copy; `work` is the engine time that it takes.
   void OnRequest(const ServiceCopy& copy, Duration work);
-  /// Records that a request begins to wait for a copy; the first one notifies
-  /// `WaitStarted`.
-  void BeginWaiting(const ServiceCopy& copy);
-  void EndWaiting(const ServiceCopy& copy);
-
   /// Returns the demand since the last call, and resets it.
   [[nodiscard]] std::vector<CopyDemand> TakeDemand();
   /// Returns the copies for which requests wait.
@@ -29,11 +24,35 @@
   [[nodiscard]] FiberSignal& WaitStarted() { return this->wait_started; }
 
  private:
+  friend class CopyWait;
+
+  void BeginWaiting(const ServiceCopy& copy);
+  void EndWaiting(const ServiceCopy& copy);
+
   std::map<ServiceCopy, CopyDemand> demand;
   std::map<ServiceCopy, std::size_t> waiting;
   FiberSignal wait_started;
 };
 
+/// Records that a request waits for a copy, until it is destroyed. The first
+/// request that waits for a copy notifies `WaitStarted`.
+class CopyWait {
+ public:
+  CopyWait(CopyDemandTracker& tracker, ServiceCopy copy)
+      : tracker(tracker), copy(std::move(copy)) {
+    this->tracker.BeginWaiting(this->copy);
+  }
+  CopyWait(const CopyWait&) = delete;
+  CopyWait& operator=(const CopyWait&) = delete;
+  ~CopyWait() { this->tracker.EndWaiting(this->copy); }
+
+  [[nodiscard]] const ServiceCopy& Copy() const { return this->copy; }
+
+ private:
+  CopyDemandTracker& tracker;
+  ServiceCopy copy;
+};
+
 }  // namespace pimentospar
 
 #endif  // SRC_GATEWAY_COPY_DEMAND_TRACKER_H_
--- a/src/gateway/gateway_messages.cc
+++ b/src/gateway/gateway_messages.cc
@@ -158,14 +158,17 @@
 }
 
 // Sends an entry the inventories that contain a copy, in case the entry missed
-// the broadcast.
+// the broadcast. For a copy at a target with a limit, its request waits for its
+// turn.
 void Gateway::SendInventoriesWithCopy(const HostId& host,
                                       const ServiceCopy& copy) {
   EntryMessage message =
       this->registration_feed.MakeMessage(this->GetHolderState());
   this->targets.VisitTargets([&](const TargetDescription& target) {
     if (target.service == copy.service && !target.draining &&
-        HasCopy(target.inventory, copy.copy)) {
+        HasCopy(target.inventory, copy.copy) &&
+        !this->rate_limits.Limits().Find(target.id,
+                                         target.inventory.started_ms)) {
       message.inventories.push_back({target.id, target.inventory});
     }
   });
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -197,6 +197,7 @@
 }
 
 std::optional<SelectedTarget> RequestHandler::SelectTarget() {
+  std::optional<CopyWait> wait;
   while (!this->channel.IsDisconnected() &&
          this->RemainingTime() > kMinAttemptTime && !this->IsQuarantined()) {
     const TargetQuery query = this->BuildQuery();
@@ -216,7 +217,7 @@
       continue;
     }
     const auto missing = MissingCopy(selection);
-    if (!missing || !this->WaitForCopy(missing->model_loaded)) {
+    if (!missing || !this->WaitForCopy(missing->model_loaded, wait)) {
       return std::nullopt;
     }
   }
@@ -229,20 +230,20 @@
                   (this->deadline - this->received_at) / kLoadWaitDivisor);
 }
 
-// Records that the request waits for the copy, and waits for the next change of
-// the targets. Returns false if the request should not wait any longer.
-bool RequestHandler::WaitForCopy(bool model_loaded) {
+bool RequestHandler::WaitForCopy(bool model_loaded,
+                                 std::optional<CopyWait>& wait) {
   const Duration max_wait = this->MaxLoadWait(model_loaded);
   if (this->send_count >= kMaxSends ||
       this->deps.clock.Now() >= this->received_at + max_wait) {
     return false;
   }
-  const CopyRef copy =
-      model_loaded ? this->meta.copy : CopyRef{this->meta.copy.model, {}};
-  this->deps.copy_demand.BeginWaiting({this->service, copy});
-  const bool waited = this->WaitForTargetChange(max_wait);
-  this->deps.copy_demand.EndWaiting({this->service, copy});
-  return waited;
+  const ServiceCopy copy{
+      this->service,
+      model_loaded ? this->meta.copy : CopyRef{this->meta.copy.model, {}}};
+  if (!wait || wait->Copy() != copy) {
+    wait.emplace(this->deps.copy_demand, copy);
+  }
+  return this->WaitForTargetChange(max_wait);
 }
 
 // Waits for a change of the known targets. Returns false if the request was
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -109,7 +109,11 @@
   /// Acquires a permit for a target with a limit and waits until it begins;
   /// returns false if the request may not be sent to the target.
   [[nodiscard]] bool AcquirePermit(const SelectedTarget& selected);
-  [[nodiscard]] bool WaitForCopy(bool model_loaded);
+  /// Waits for the next change of the targets while `wait` records which copy
+  /// the request lacks. Returns false if the request should not wait any
+  /// longer.
+  [[nodiscard]] bool WaitForCopy(bool model_loaded,
+                                 std::optional<CopyWait>& wait);
   [[nodiscard]] bool WaitForTargetChange(Duration max_wait);
   [[nodiscard]] Duration MaxLoadWait(bool model_loaded) const;
   [[nodiscard]] AttemptStatus RunAttempt(Attempt& attempt);
--- a/test/gateway/limited_target_test.cc
+++ b/test/gateway/limited_target_test.cc
@@ -213,6 +213,87 @@
   BOOST_TEST(fleet.targets[0]->Arrivals() - before <= 5U);
 }
 
+// A registered entry that the test plays.
+class ScriptedEntry {
+ public:
+  explicit ScriptedEntry(Fleet& fleet) : fleet(fleet) {
+    const UdpEndpoint local = this->socket.local_endpoint();
+    (void)fleet.log.AppendKeyed(
+        fleet.registry.EntryStream(), "scripted",
+        Encode(EntryRegistration{{local.address().to_string(), local.port()},
+                                 0.1}));
+    test::Loop().Spawn([this] { this->Receive(); });
+  }
+
+  /// Sends a message to an entry of the fleet.
+  void Send(const std::string& host, EntryMessage message) {
+    message.host = HostId("scripted");
+    message.instance = {77};
+    message.sequence = ++this->sequence;
+    const auto entries =
+        this->fleet.log.ReadLatestValues(this->fleet.registry.EntryStream(), "")
+            .items;
+    const auto found =
+        std::ranges::find(entries, host, &KeyedItem::key)->value.value();
+    const Tcp::endpoint to =
+        DecodeEntryRegistration(found)->address.ToEndpoint();
+    this->socket.send_to(boost::asio::buffer(Encode(message)),
+                         {to.address(), to.port()});
+  }
+
+  /// Targets whose inventories the entry has received.
+  std::vector<TargetId> inventories;
+
+ private:
+  void Receive() {
+    std::vector<char> buffer(1ULL << 16);
+    UdpEndpoint sender;
+    while (true) {
+      const IoResult received = Await([&](auto handler) {
+        this->socket.async_receive_from(boost::asio::buffer(buffer), sender,
+                                        std::move(handler));
+      });
+      const auto message = DecodeEntryMessage({buffer.data(), received.bytes});
+      for (const TargetInventory& entry : message->inventories) {
+        this->inventories.push_back(entry.target);
+      }
+    }
+  }
+
+  Fleet& fleet;
+  std::uint64_t sequence = 0;
+  UdpSocket socket{test::Loop().Context(),
+                   {boost::asio::ip::make_address("127.0.0.1"), 0}};
+};
+
+// Requests that wait for a turn at a target with a limit have its inventory;
+// the lease holder sent it with each of their reports.
+BOOST_AUTO_TEST_CASE(HolderSendsInventoriesOfLimitedTargetsAgainAndAgain) {
+  Fleet& fleet = Fleet::Create();
+  for (const char* name : {"limited", "other"}) {
+    (void)fleet.log.AppendKeyed(
+        fleet.registry.TargetStream(), name,
+        R"({"service":"s","addr":"127.0.0.1:1","zone":"d","slots":8,)"
+        R"("state":"ready","born":1,"models":[{"name":"m","adapters":[]}]})");
+  }
+  fleet.SetConfig(std::string(kConfig));
+  const Gateway& holder = fleet.Start("h0", 0.2);
+  BOOST_TEST(Eventually([&] { return holder.HoldsLease(); }));
+  // Receives until the program ends.
+  auto* entry = new ScriptedEntry(fleet);
+  EntryMessage limits;
+  limits.limits = {{TargetId("limited"), 1, 2.0, milliseconds(0)}};
+  EntryMessage report;
+  report.wanted = {{ServiceId("s"), {ModelId("m"), {}}}};
+  BOOST_TEST(Eventually([&] {
+    entry->Send("h0", limits);
+    entry->Send("h0", report);
+    boost::this_fiber::sleep_for(milliseconds(20));
+    return !entry->inventories.empty();
+  }));
+  BOOST_TEST(std::ranges::count(entry->inventories, TargetId("limited")) == 0);
+}
+
 // Entries that other entries still know but that have ended: whoever should
 // space the requests is silent.
 BOOST_AUTO_TEST_CASE(SilentEntryLeavesTheLimitToEachOther) {
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -774,35 +774,90 @@
   BOOST_TEST(Eventually([&] { return this->server.InFlight() == 0; }));
 }
 
-BOOST_FIXTURE_TEST_CASE(WaitsForAMissingAdapter, Fixture) {
-  ScriptedTarget target(
+// Targets of a service whose engines load models.
+struct EngineFixture : Fixture {
+  EngineFixture() {
+    RoutingConfig config = this->table->Config();
+    config.services[0].engine = EngineSpec{};
+    this->table = std::make_shared<const RouteTable>(config);
+  }
+
+  void AddEngine(const std::string& name, std::vector<LoadedModel> models) {
+    TargetDescription description;
+    description.id = TargetId(name);
+    description.service = ServiceId("s");
+    description.address = this->target.Address();
+    description.inventory = {1, 0, std::move(models)};
+    this->targets.OnTarget(description);
+  }
+
+  // Loads the adapter when a request waits for it.
+  void LoadWhenWanted(const std::string& engine) {
+    Loop().Spawn([this, engine] {
+      (void)Eventually(
+          [this] { return !this->copy_demand.WantedCopies().empty(); });
+      this->targets.OnInventory(TargetId(engine), {1, 1, this->loaded},
+                                InventorySource::kPlanner);
+      this->targets_changed.NotifyAll();
+    });
+  }
+
+  std::vector<LoadedModel> loaded = {{ModelId("m"), {AdapterId("a1")}}};
+  ScriptedTarget target{
       [](RawConnection& connection, const std::string& request) {
         connection.Write(StreamHead(RequestIdOf(request)) + Chunk(Event(1)) +
                          "0\r\n\r\n");
         return true;
-      });
-  RoutingConfig config = this->table->Config();
-  config.services[0].engine = EngineSpec{};
-  this->table = std::make_shared<const RouteTable>(config);
-  TargetDescription description;
-  description.id = TargetId("t");
-  description.service = ServiceId("s");
-  description.address = target.Address();
-  description.inventory = {1, 0, {{ModelId("m"), {}}}};
-  this->targets.OnTarget(description);
-  Loop().Spawn([this] {
-    (void)Eventually(
-        [this] { return !this->copy_demand.WantedCopies().empty(); });
-    this->targets.OnInventory(TargetId("t"),
-                              {1, 1, {{ModelId("m"), {AdapterId("a1")}}}},
-                              InventorySource::kPlanner);
-    this->targets_changed.NotifyAll();
-  });
+      }};
+};
+
+BOOST_FIXTURE_TEST_CASE(WaitsForAMissingAdapter, EngineFixture) {
+  this->AddEngine("t", {{ModelId("m"), {}}});
+  this->LoadWhenWanted("t");
+  const std::string response =
+      this->Send("POST /stream/1", "X-Pimentospar-Model: m/a1\r\n", "x");
+  BOOST_TEST(response.starts_with("HTTP/1.1 200"), response);
+  BOOST_TEST(this->copy_demand.WantedCopies().empty());
+}
+
+// Guards against a refusal while another target could load what the request
+// needs.
+BOOST_FIXTURE_TEST_CASE(RefusesACopyThatOnlyALimitedTargetHas, EngineFixture) {
+  this->AddEngine("limited", this->loaded);
+  this->AddEngine("other", {{ModelId("m"), {}}});
+  this->rate_limits.OnResponse(TargetId("limited"), 1, 1.0);
+  this->targets.OnPermitDenied(TargetId("limited"),
+                               this->clock.Now() + std::chrono::minutes(1));
+  this->LoadWhenWanted("other");
   const std::string response =
       this->Send("POST /stream/1", "X-Pimentospar-Model: m/a1\r\n", "x");
   BOOST_TEST(response.starts_with("HTTP/1.1 200"), response);
   BOOST_TEST(this->copy_demand.WantedCopies().empty());
 }
 
+// Guards against reports to the lease holder with each change of the targets,
+// of which its replies cause more.
+BOOST_FIXTURE_TEST_CASE(ReportsAMissingCopyWithEachChangeOfTheTargets,
+                        EngineFixture) {
+  this->AddEngine("t", {{ModelId("m"), {}}});
+  std::size_t reports = 0;
+  bool ended = false;
+  Loop().Spawn([&] {
+    while (!ended) {
+      reports += this->copy_demand.WaitStarted().WaitFor(
+          std::chrono::milliseconds(20));
+      this->targets_changed.NotifyAll();
+    }
+  });
+  const std::string response = this->Send("POST /stream/1",
+                                          "X-Pimentospar-Model: m/a1\r\n"
+                                          "X-Pimentospar-Deadline-Ms: 800\r\n",
+                                          "x");
+  ended = true;
+  BOOST_TEST(response.starts_with("HTTP/1.1 503"), response);
+  BOOST_TEST(reports == 1U);
+  boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
+}
+
 }  // namespace
 }  // namespace pimentospar
