Let a stream go on that has begun when its part is refused

Cause: requests in flight are cancelled when their part is refused, unless their target has sent events for 250 ms. But a request that crashes its target does so as it begins to respond. Change: an attempt with an event is not cancelled. 250 ms still count as proof that a target survives. Result: CutsAStreamThatHasBegunForThePartsOfItsPrompt failed before; LetsARequestCrashItsTargetThoughItsPartIsKnown passes before and after, for what no test covered. That an entry hears of strikes before completions remains possible.

--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -93,6 +93,8 @@
   /// Cancels the current attempt if it would crash its target.
   void OnCausesChanged();
   void OnEventInterval(Duration interval);
+  /// Returns whether the target of the current attempt has sent an event.
+  [[nodiscard]] bool HasTargetBegun() const;
   /// Returns whether the target of the current attempt has sent events for so
   /// long that the request cannot have crashed it.
   [[nodiscard]] bool HasTargetSurvived() const;
--- a/src/gateway/request_handler_crash.cc
+++ b/src/gateway/request_handler_crash.cc
@@ -36,8 +36,10 @@
   return isolated != nullptr && isolated->is_trial;
 }
 
+// A request that crashes its target does so as it begins to respond, so there
+// is nothing left to prevent after that.
 void RequestHandler::OnCausesChanged() {
-  if (this->current_exchange == nullptr || this->HasTargetSurvived() ||
+  if (this->current_exchange == nullptr || this->HasTargetBegun() ||
       this->IsTrial()) {
     return;
   }
@@ -54,10 +56,15 @@
   }
 }
 
-bool RequestHandler::HasTargetSurvived() const {
+bool RequestHandler::HasTargetBegun() const {
   const auto first_event_at = this->forwarder.TargetFirstEventAt();
-  return first_event_at && *first_event_at >= this->last_sent_at &&
-         this->deps.clock.Now() - *first_event_at >= kSurvivalTime;
+  return first_event_at && *first_event_at >= this->last_sent_at;
+}
+
+bool RequestHandler::HasTargetSurvived() const {
+  return this->HasTargetBegun() &&
+         this->deps.clock.Now() - *this->forwarder.TargetFirstEventAt() >=
+             kSurvivalTime;
 }
 
 bool RequestHandler::IsBrokenByTarget(const Attempt& attempt,
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "pimentospar/fingerprint.h"
 #include "platform/platform_headers.h"
 #include "support.h"
 
@@ -774,6 +775,56 @@
   BOOST_TEST(Eventually([&] { return this->server.InFlight() == 0; }));
 }
 
+// Strikes of another entry arrive while a request with their part is in flight.
+struct StrikesFixture : Fixture {
+  static constexpr std::string_view kParts =
+      "X-Pimentospar-Prompt-Prefix: part:100,own:10\r\n";
+
+  void ImportStrikes() {
+    std::vector<StrikeReport> strikes;
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+      strikes.push_back({FingerprintOfPromptPart("part"), CrashId{crash}});
+    }
+    this->crashes.Import(strikes);
+  }
+};
+
+// Guards against a crash that was known not to be worth waiting for.
+BOOST_FIXTURE_TEST_CASE(LetsARequestCrashItsTargetThoughItsPartIsKnown,
+                        StrikesFixture) {
+  ScriptedTarget target([](RawConnection& connection, const std::string&) {
+    (void)connection.ReadUntil("never");
+    return false;
+  });
+  this->AddTarget("t", target);
+  Loop().Spawn([this, &target] {
+    (void)Eventually([&] { return target.Requests().size() == 1; });
+    this->ImportStrikes();
+  });
+  const std::string response = this->Send("POST /stream/1", kParts, "x");
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"), response);
+  BOOST_TEST(Contains(response, "request_quarantined"), response);
+  BOOST_TEST(Eventually([&] { return target.EndedConnections() == 1; }));
+}
+
+// Guards against sound streams that are cut for strikes that are cleared a
+// moment later: a request that crashes its target does so as it begins to
+// respond.
+BOOST_FIXTURE_TEST_CASE(CutsAStreamThatHasBegunForThePartsOfItsPrompt,
+                        StrikesFixture) {
+  ScriptedTarget target(
+      [this](RawConnection& connection, const std::string& request) {
+        connection.Write(StreamHead(RequestIdOf(request)) + Chunk(Event(1)));
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+        this->ImportStrikes();
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+        connection.Write(Chunk(Event(2)) + "0\r\n\r\n");
+        return true;
+      });
+  this->AddTarget("t", target);
+  CheckBothEventsOnce(this->Send("POST /stream/1", kParts, "x"));
+}
+
 // Targets of a service whose engines load models.
 struct EngineFixture : Fixture {
   EngineFixture() {
