--- a/include/pimentospar/planning/copy_planner.h
+++ b/include/pimentospar/planning/copy_planner.h
@@ -227,6 +227,7 @@
   /// first. Copies that are being loaded, or that memory is being freed for,
   /// count as existing ones.
   [[nodiscard]] std::vector<CopyNeed> FindCopyNeeds(const ServiceSpec& service);
+  /// Returns whether the service has a usable engine without a limit.
   [[nodiscard]] bool HasEngineWithoutLimit(const ServiceId& service) const;
   /// Returns whether requests wait for the model although engines with a limit
   /// have loaded it, and another engine could load it.
@@ -239,7 +240,8 @@
       const CopyDemandState& demand_state) const;
   /// Returns the engine at which a load of the model causes the least loss, or
   /// nothing if no engine can load it now. A local copy at the engine counts
-  /// like a loss that is smaller by `local_copy_gain`.
+  /// like a loss that is smaller by `local_copy_gain`. `need` tells whether an
+  /// engine with a limit will do.
   [[nodiscard]] std::optional<LoadSite> FindLoadSite(const ServiceSpec& service,
                                                      const ModelSpec& model,
                                                      const CopyNeed& need);
@@ -266,6 +268,7 @@
                   std::vector<PlannedOrder>& orders);
   void PlanAdapters(const ServiceSpec& service,
                     std::vector<PlannedOrder>& orders);
+  /// Returns whether an engine without a limit has loaded the copy's model.
   [[nodiscard]] bool IsModelLoadedWithoutLimit(const ServiceCopy& copy) const;
   void PlaceAdapter(const ServiceSpec& service,
                     const ServiceCopy& wanted,
--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -323,10 +323,10 @@
   const std::ptrdiff_t count =
       std::clamp<std::ptrdiff_t>(active, 1, kMaxReportsPerFingerprint);
   const TimePoint now = this->clock.Now();
-  const auto completed_age = [&]() -> std::optional<std::chrono::milliseconds> {
-    return record.completed_at ? std::optional(AgeOf(now, *record.completed_at))
-                               : std::nullopt;
-  }();
+  std::optional<std::chrono::milliseconds> completed_age;
+  if (record.completed_at) {
+    completed_age = AgeOf(now, *record.completed_at);
+  }
   for (const Strike& strike : newest | std::views::take(count)) {
     reports.push_back({record.fingerprint, strike.crash, strike.cleared,
                        AgeOf(now, strike.changed), AgeOf(now, record.last_seen),
