--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <ranges>
 #include <tuple>
 
 #include "pimentospar/digest.h"
@@ -18,7 +17,7 @@
 constexpr std::uint32_t kIsolationMargin = 1;
 // Strikes of one fingerprint that are reported; more change no decision but the
 // time until the next trial.
-constexpr std::ptrdiff_t kMaxReportsPerFingerprint = 8;
+constexpr std::size_t kMaxReportsPerFingerprint = 8;
 // Limit on the doublings of the time between trials.
 constexpr std::uint32_t kMaxTrialDoublings = 8;
 
@@ -319,15 +318,15 @@
   std::ranges::sort(newest, std::greater(), [](const Strike& strike) {
     return std::pair(!strike.cleared, strike.changed);
   });
-  const std::ptrdiff_t active = CountActiveStrikes(record);
-  const std::ptrdiff_t count =
-      std::clamp<std::ptrdiff_t>(active, 1, kMaxReportsPerFingerprint);
+  const std::size_t count = std::clamp<std::size_t>(
+      CountActiveStrikes(record), 1, kMaxReportsPerFingerprint);
+  newest.resize(std::min(newest.size(), count));
   const TimePoint now = this->clock.Now();
   std::optional<std::chrono::milliseconds> completed_age;
   if (record.completed_at) {
     completed_age = AgeOf(now, *record.completed_at);
   }
-  for (const Strike& strike : newest | std::views::take(count)) {
+  for (const Strike& strike : newest) {
     reports.push_back({record.fingerprint, strike.crash, strike.cleared,
                        AgeOf(now, strike.changed), AgeOf(now, record.last_seen),
                        completed_age});
