--- a/test/rate_permits_test.cc
+++ b/test/rate_permits_test.cc
@@ -8,7 +8,7 @@
 
 using namespace std::chrono_literals;
 
-const TargetId kTarget("t");
+const TargetId target_id("t");
 // A target may get one and a half times its limit in this time, and 5 more.
 constexpr Duration kWindow = 4s;
 
@@ -29,7 +29,7 @@
     clock.Advance(1min);
     double granted = 0;
     for (int i = 0; i < 4000; ++i) {
-      granted += IsGranted(permits.Take(kTarget, per_second, 0s)) ? 1 : 0;
+      granted += IsGranted(permits.Take(target_id, per_second, 0s)) ? 1 : 0;
       clock.Advance(1ms);
     }
     BOOST_TEST(granted <= MaxInAWindow(per_second));
@@ -44,13 +44,13 @@
   RatePermits permits(clock);
   clock.Advance(1min);
   const auto delay = [&permits] {
-    return std::get<PermitGranted>(permits.Take(kTarget, 2, 1s)).delay;
+    return std::get<PermitGranted>(permits.Take(target_id, 2, 1s)).delay;
   };
   BOOST_TEST((delay() == 0s));
   BOOST_TEST((delay() == 0s));
   BOOST_TEST((delay() == 500ms));
   BOOST_TEST((delay() == 1s));
-  const auto denied = std::get<PermitDenied>(permits.Take(kTarget, 2, 1s));
+  const auto denied = std::get<PermitDenied>(permits.Take(target_id, 2, 1s));
   BOOST_TEST((denied.retry_after == 500ms));
   clock.Advance(denied.retry_after);
   BOOST_TEST((delay() == 1s));
@@ -60,9 +60,9 @@
   ManualClock clock;
   RatePermits permits(clock);
   clock.Advance(1min);
-  BOOST_TEST(IsGranted(permits.Take(kTarget, 0.1, 0s)));
-  BOOST_TEST(IsGranted(permits.Take(kTarget, 0.1, 0s)));
-  BOOST_TEST(!IsGranted(permits.Take(kTarget, 0.1, 0s)));
+  BOOST_TEST(IsGranted(permits.Take(target_id, 0.1, 0s)));
+  BOOST_TEST(IsGranted(permits.Take(target_id, 0.1, 0s)));
+  BOOST_TEST(!IsGranted(permits.Take(target_id, 0.1, 0s)));
   BOOST_TEST(IsGranted(permits.Take(TargetId("u"), 0.1, 0s)));
 }
 
@@ -84,7 +84,7 @@
         for (int i = 0; i < 80; ++i) {
           for (UncoordinatedPermits& entry : permits) {
             in_window +=
-                IsGranted(entry.Take(kTarget, per_second, entries)) ? 1 : 0;
+                IsGranted(entry.Take(target_id, per_second, entries)) ? 1 : 0;
           }
           clock.Advance(kWindow / 80);
         }
--- a/test/target_limits_test.cc
+++ b/test/target_limits_test.cc
@@ -8,7 +8,7 @@
 
 using namespace std::chrono_literals;
 
-const TargetId kTarget("t");
+const TargetId target_id("t");
 constexpr std::int64_t kStarted = 100;
 
 struct Fixture {
@@ -19,37 +19,37 @@
 
 BOOST_FIXTURE_TEST_CASE(KeepsTheLimitForAsLongAsTheTargetSaysSo, Fixture) {
   BOOST_TEST(!this->limits.HasLimits());
-  this->limits.OnResponse(kTarget, kStarted, 2.5);
-  BOOST_TEST(this->limits.Find(kTarget, kStarted).value() == 2.5);
+  this->limits.OnResponse(target_id, kStarted, 2.5);
+  BOOST_TEST(this->limits.Find(target_id, kStarted).value() == 2.5);
   this->clock.Advance(60s);
   BOOST_TEST(this->limits.HasLimits());
   this->clock.Advance(1ms);
-  this->limits.OnResponse(kTarget, kStarted, std::nullopt);
-  BOOST_TEST(!this->limits.Find(kTarget, kStarted));
+  this->limits.OnResponse(target_id, kStarted, std::nullopt);
+  BOOST_TEST(!this->limits.Find(target_id, kStarted));
   BOOST_TEST(!this->limits.HasLimits());
 }
 
 // Guards against a limit that is kept for a target that has started anew, and
 // against one that an old response brings back.
 BOOST_FIXTURE_TEST_CASE(EndsTheLimitWithTheIncarnation, Fixture) {
-  this->limits.OnResponse(kTarget, kStarted, 2);
-  BOOST_TEST(!this->limits.Find(kTarget, kStarted + 1));
+  this->limits.OnResponse(target_id, kStarted, 2);
+  BOOST_TEST(!this->limits.Find(target_id, kStarted + 1));
   this->clock.Advance(1ms);
-  this->limits.OnResponse(kTarget, kStarted + 1, 3);
+  this->limits.OnResponse(target_id, kStarted + 1, 3);
   this->clock.Advance(1ms);
-  this->limits.OnResponse(kTarget, kStarted, 2);
-  BOOST_TEST(this->limits.Find(kTarget, kStarted + 1).value() == 3);
+  this->limits.OnResponse(target_id, kStarted, 2);
+  BOOST_TEST(this->limits.Find(target_id, kStarted + 1).value() == 3);
 }
 
 // Guards against news that each entry passes on again and again.
 BOOST_FIXTURE_TEST_CASE(CountsOnlyChangesAsNews, Fixture) {
-  this->limits.OnResponse(kTarget, kStarted, std::nullopt);
+  this->limits.OnResponse(target_id, kStarted, std::nullopt);
   BOOST_TEST(this->limits.Version() == 0U);
-  this->limits.OnResponse(kTarget, kStarted, 2);
+  this->limits.OnResponse(target_id, kStarted, 2);
   const std::uint64_t version = this->limits.Version();
   for (int i = 0; i < 3; ++i) {
     this->clock.Advance(10ms);
-    this->limits.OnResponse(kTarget, kStarted, 2);
+    this->limits.OnResponse(target_id, kStarted, 2);
     const auto reports = this->limits.Export(10, this->random);
     this->limits.Import(reports);
   }
@@ -58,18 +58,18 @@
 
 // Guards against a limit that another entry's older knowledge brings back.
 BOOST_FIXTURE_TEST_CASE(TakesTheNewestWordOfTheTarget, Fixture) {
-  this->limits.OnResponse(kTarget, kStarted, std::nullopt);
+  this->limits.OnResponse(target_id, kStarted, std::nullopt);
   this->limits.Import(
-      std::vector<TargetLimitReport>{{kTarget, kStarted, 2, 50ms}});
-  BOOST_TEST(this->limits.Find(kTarget, kStarted).value() == 2);
-  this->limits.OnResponse(kTarget, kStarted, std::nullopt);
+      std::vector<TargetLimitReport>{{target_id, kStarted, 2, 50ms}});
+  BOOST_TEST(this->limits.Find(target_id, kStarted).value() == 2);
+  this->limits.OnResponse(target_id, kStarted, std::nullopt);
   this->limits.Import(
-      std::vector<TargetLimitReport>{{kTarget, kStarted, 2, 10ms}});
-  BOOST_TEST(!this->limits.Find(kTarget, kStarted));
+      std::vector<TargetLimitReport>{{target_id, kStarted, 2, 10ms}});
+  BOOST_TEST(!this->limits.Find(target_id, kStarted));
   this->clock.Advance(20ms);
   this->limits.Import(
-      std::vector<TargetLimitReport>{{kTarget, kStarted, 4, 5ms}});
-  BOOST_TEST(this->limits.Find(kTarget, kStarted).value() == 4);
+      std::vector<TargetLimitReport>{{target_id, kStarted, 4, 5ms}});
+  BOOST_TEST(this->limits.Find(target_id, kStarted).value() == 4);
 }
 
 // Guards against limits that an entry that starts later never hears of, since
