--- a/include/pimentospar/random.h
+++ b/include/pimentospar/random.h
@@ -1,11 +1,19 @@
 #ifndef INCLUDE_PIMENTOSPAR_RANDOM_H_
 #define INCLUDE_PIMENTOSPAR_RANDOM_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <random>
+#include <span>
+#include <utility>
 
 namespace pimentospar {
 
+/// Maps 64 uniformly distributed bits to a number in [0, 1).
+[[nodiscard]] inline double ToUnitInterval(std::uint64_t bits) {
+  return static_cast<double>(bits >> 11) * 0x1.0p-53;
+}
+
 /// Source of randomness, passed to each component through its constructor.
 class RandomSource {
  public:
@@ -18,9 +26,7 @@
     return bound == 0 ? 0 : this->Next() % bound;
   }
   /// Returns a uniformly distributed number in [0, 1).
-  double NextDouble() {
-    return static_cast<double>(this->Next() >> 11) * 0x1.0p-53;
-  }
+  double NextDouble() { return ToUnitInterval(this->Next()); }
 };
 
 /// Deterministic generator: equal seeds give equal sequences. Not thread-safe.
@@ -33,6 +39,16 @@
   std::mt19937_64 engine;
 };
 
+/// Moves at most `count` items that are drawn at random to the front.
+template <typename Item>
+void DrawToFront(std::span<Item> items,
+                 std::size_t count,
+                 RandomSource& random) {
+  for (std::size_t i = 0; i < std::min(count, items.size()); ++i) {
+    std::swap(items[i], items[i + random.NextBelow(items.size() - i)]);
+  }
+}
+
 /// Returns a 64-bit seed from the entropy source of the operating system.
 inline std::uint64_t EntropySeed() {
   std::random_device device;
--- a/src/gateway/entry_transport.cc
+++ b/src/gateway/entry_transport.cc
@@ -160,11 +160,11 @@
   for (const auto& [host, peer] : this->peers) {
     addresses.push_back(peer.address);
   }
+  DrawToFront(std::span(addresses), count, random);
+  addresses.resize(std::min(count, addresses.size()));
   const std::string bytes = this->StampAndEncode(message);
-  for (std::size_t sent = 0; sent < std::min(count, addresses.size()); ++sent) {
-    const std::size_t drawn = sent + random.NextBelow(addresses.size() - sent);
-    std::swap(addresses[sent], addresses[drawn]);
-    this->SendTo(addresses[sent], bytes);
+  for (const UdpEndpoint& address : addresses) {
+    this->SendTo(address, bytes);
   }
 }
 
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -157,11 +157,8 @@
 
 std::vector<MemberAddress> Membership::Sample(std::vector<MemberAddress> from,
                                               std::size_t count) {
-  count = std::min(count, from.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    std::swap(from[i], from[i + this->random.NextBelow(from.size() - i)]);
-  }
-  from.resize(count);
+  DrawToFront(std::span(from), count, this->random);
+  from.resize(std::min(count, from.size()));
   return from;
 }
 
--- a/src/routing/rate_permits.cc
+++ b/src/routing/rate_permits.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "pimentospar/digest.h"
+#include "pimentospar/random.h"
 
 namespace pimentospar {
 
@@ -59,8 +60,7 @@
   const double interval_s =
       static_cast<double>(std::max<std::size_t>(entry_count, 1)) /
       (kUncoordinatedShare * per_second);
-  const double phase =
-      static_cast<double>(Hash64(target.value, this->seed) >> 11) * 0x1.0p-53;
+  const double phase = ToUnitInterval(Hash64(target.value, this->seed));
   const double now_s =
       std::chrono::duration<double>(this->clock.Now().time_since_epoch())
           .count();
--- a/src/routing/target_limits.cc
+++ b/src/routing/target_limits.cc
@@ -78,11 +78,9 @@
   std::ranges::sort(order, std::greater(), [](const Entry* entry) {
     return entry->second.changed_at;
   });
-  const std::size_t kept = std::min(limit, order.size());
-  for (std::size_t i = limit / 2; i < kept; ++i) {
-    std::swap(order[i], order[i + random.NextBelow(order.size() - i)]);
-  }
-  order.resize(kept);
+  const std::size_t newest = std::min(limit / 2, order.size());
+  DrawToFront(std::span(order).subspan(newest), limit - newest, random);
+  order.resize(std::min(limit, order.size()));
   const TimePoint now = this->clock.Now();
   std::vector<TargetLimitReport> reports;
   for (const Entry* entry : order) {
