Hash the target once when its entries are ranked

Cause: each comparison of two entries hashed the target again and copied the entries' names, for each permit. Change: the seed is computed before; names are compared as views. The order is the same. Result: limited_target_test passes.

--- a/src/gateway/rate_limit_coordinator.cc
+++ b/src/gateway/rate_limit_coordinator.cc
@@ -97,12 +97,13 @@
   std::vector<HostId> hosts = this->transport.PeerHosts();
   hosts.push_back(this->self);
   const std::size_t kept = std::min(kMaxRank, hosts.size());
-  std::ranges::partial_sort(
-      hosts, hosts.begin() + static_cast<std::ptrdiff_t>(kept), {},
-      [&target](const HostId& host) {
-        return std::pair(Hash64(host.value, Hash64(target.value, 0)),
-                         host.value);
-      });
+  const std::uint64_t seed = Hash64(target.value);
+  std::ranges::partial_sort(hosts,
+                            hosts.begin() + static_cast<std::ptrdiff_t>(kept),
+                            {}, [seed](const HostId& host) {
+                              return std::pair(Hash64(host.value, seed),
+                                               std::string_view(host.value));
+                            });
   hosts.resize(kept);
   return hosts;
 }
