Read the strikes of an entry through one accessor

Change: Strikes() returns the quarantine for reading. The order of strikes in a message is described as it is. Result: crashing_request_test and entry_message_test pass.

--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -43,27 +43,8 @@
 
   /// Merges strikes of other entries.
   void Import(std::span<const StrikeReport> reports);
-  [[nodiscard]] std::vector<StrikeReport> Export(std::size_t limit) const {
-    return this->quarantine.Export(limit);
-  }
-  [[nodiscard]] std::vector<StrikeReport> ExportOf(
-      Fingerprint fingerprint) const {
-    return this->quarantine.ExportOf(fingerprint);
-  }
-  [[nodiscard]] bool HasStrike(Fingerprint fingerprint) const {
-    return this->quarantine.HasStrike(fingerprint);
-  }
-  [[nodiscard]] bool HasSuspects() const {
-    return this->quarantine.HasSuspects();
-  }
-  /// Returns a number that grows with each change of the strikes.
-  [[nodiscard]] std::uint64_t Version() const {
-    return this->quarantine.Version();
-  }
-  /// Returns the causes of crashes whose requests are refused.
-  [[nodiscard]] std::span<const CrashCause> Causes() const {
-    return this->quarantine.Causes();
-  }
+  /// Returns the strikes that this entry observed or received.
+  [[nodiscard]] const Quarantine& Strikes() const { return this->quarantine; }
   /// Returns whether this entry has seen a crash with the fingerprint in
   /// flight.
   [[nodiscard]] bool HasWitnessed(Fingerprint fingerprint) const {
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -72,7 +72,7 @@
   /// Number of entries that the lease holder knows, including itself; 0 in the
   /// messages of other entries.
   std::size_t entry_count = 0;
-  /// Strikes that the sender knows, newest first.
+  /// Strikes that the sender knows, those of suspects first.
   std::vector<StrikeReport> strikes;
   /// Limits of targets that the sender knows.
   std::vector<TargetLimitReport> limits;
--- a/src/gateway/strike_exchange.cc
+++ b/src/gateway/strike_exchange.cc
@@ -49,11 +49,12 @@
       gossip(loop,
              random,
              transport,
-             {[&crashes] { return crashes.Version(); },
-              [&crashes] { return crashes.HasSuspects(); },
+             {[&crashes] { return crashes.Strikes().Version(); },
+              [&crashes] { return crashes.Strikes().HasSuspects(); },
               [&crashes] {
                 EntryMessage message;
-                message.strikes = crashes.Export(kMaxStrikesPerMessage);
+                message.strikes =
+                    crashes.Strikes().Export(kMaxStrikesPerMessage);
                 return message;
               },
               crashes.Changed()}),
@@ -91,7 +92,7 @@
 // Only entries that have seen one of the crashes publish their cause, and the
 // lease holder in case they have ended since.
 void StrikeExchange::PublishCauses() {
-  for (const CrashCause& cause : this->crashes.Causes()) {
+  for (const CrashCause& cause : this->crashes.Strikes().Causes()) {
     for (const Fingerprint fingerprint : cause.fingerprints) {
       if (!this->published.contains(KeyOf(fingerprint)) &&
           (this->crashes.HasWitnessed(fingerprint) ||
@@ -108,7 +109,7 @@
   boost::this_fiber::sleep_for(
       std::chrono::milliseconds(this->random.NextBelow(kMaxPublishDelayMs)));
   EntryMessage message;
-  message.strikes = this->crashes.ExportOf(fingerprint);
+  message.strikes = this->crashes.Strikes().ExportOf(fingerprint);
   if (!message.strikes.empty() && !this->published.contains(key)) {
     const LogStatus status =
         this->log.AppendKeyed(this->options.stream, key, Encode(message));
@@ -131,7 +132,7 @@
   std::ranges::copy_if(
       this->published, std::back_inserter(old), [this](const std::string& key) {
         const auto fingerprint = FingerprintOfKey(key);
-        return !fingerprint || !this->crashes.HasStrike(*fingerprint);
+        return !fingerprint || !this->crashes.Strikes().HasStrike(*fingerprint);
       });
   for (const std::string& key : old) {
     if (this->log.AppendKeyed(this->options.stream, key, std::nullopt) ==
