Write and read strikes on the wire in one place

Cause: the messages between entries repeated the five fields of the gossip between members, in both directions. Change: WriteStrike and ReadStrike serve both; the bytes are the same.

--- a/src/control/gossip_codec.cc
+++ b/src/control/gossip_codec.cc
@@ -8,14 +8,13 @@
 #include <vector>
 
 #include "gossip.capnp.h"
+#include "rpc/wire_strikes.h"
 #include "rpc/wire_values.h"
 
 namespace pimentospar {
 
 namespace {
 
-using std::chrono::milliseconds;
-
 struct BodyWriter {
   wire::Gossip::Body::Builder to;
 
@@ -103,10 +102,7 @@
   to.config_version.value = from.getConfigVersion();
   to.body = ReadBody(from.getBody());
   for (const auto strike : from.getStrikes()) {
-    to.strikes.push_back({Fingerprint{strike.getFingerprint()},
-                          CrashId{strike.getCrash()}, strike.getCleared(),
-                          milliseconds(strike.getAgeMs()),
-                          milliseconds(strike.getLastSeenAgeMs())});
+    to.strikes.push_back(ReadStrike(strike));
   }
   for (const auto member : from.getMembers()) {
     to.updates.push_back(ReadMember(member));
@@ -137,12 +133,7 @@
   auto strikes = to.initStrikes(static_cast<unsigned>(message.strikes.size()));
   unsigned index = 0;
   for (const StrikeReport& report : message.strikes) {
-    auto row = strikes[index++];
-    row.setFingerprint(report.fingerprint.value);
-    row.setCrash(report.crash.value);
-    row.setCleared(report.cleared);
-    row.setAgeMs(ToWireMilliseconds(report.age));
-    row.setLastSeenAgeMs(ToWireMilliseconds(report.last_seen_age));
+    WriteStrike(strikes[index++], report);
   }
   auto members = to.initMembers(static_cast<unsigned>(message.updates.size()));
   index = 0;
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -5,6 +5,7 @@
 #include <kj/io.h>
 
 #include "gateway.capnp.h"
+#include "rpc/wire_strikes.h"
 #include "rpc/wire_values.h"
 
 namespace pimentospar {
@@ -110,11 +111,7 @@
   unsigned index = 0;
   for (const StrikeReport& report : from.strikes) {
     auto row = strikes[index++];
-    row.setFingerprint(report.fingerprint.value);
-    row.setCrash(report.crash.value);
-    row.setCleared(report.cleared);
-    row.setAgeMs(ToWireMilliseconds(report.age));
-    row.setLastSeenAgeMs(ToWireMilliseconds(report.last_seen_age));
+    WriteStrike(row, report);
     row.setCompletedAgeMs(
         report.completed_age
             ? ToWireMilliseconds(*report.completed_age + kAgeOffset)
@@ -124,11 +121,8 @@
 
 void ReadStrikes(wire::EntryMessage::Reader from, EntryMessage& to) {
   for (const auto row : from.getStrikes()) {
-    to.strikes.push_back({Fingerprint{row.getFingerprint()},
-                          CrashId{row.getCrash()}, row.getCleared(),
-                          milliseconds(row.getAgeMs()),
-                          milliseconds(row.getLastSeenAgeMs()),
-                          ReadOptionalAge(row.getCompletedAgeMs())});
+    to.strikes.push_back(ReadStrike(row));
+    to.strikes.back().completed_age = ReadOptionalAge(row.getCompletedAgeMs());
   }
 }
 
