Play silent entries by the scripted one in the test of limits

Cause: two ways to register an entry that the test plays stood side by side. Change: a scripted entry has a name and replies to nothing; no check changed. Result: limited_target_test passes.

--- a/test/gateway/limited_target_test.cc
+++ b/test/gateway/limited_target_test.cc
@@ -1,8 +1,6 @@
 #define BOOST_TEST_MODULE limited_target
 #include <boost/test/unit_test.hpp>
 
-#include <deque>
-
 #include "fleet.h"
 
 // Targets that name the requests per second that they take from all entries.
@@ -76,6 +74,61 @@
   }};
 };
 
+// A registered entry that the test plays. It replies to nothing.
+class ScriptedEntry {
+ public:
+  ScriptedEntry(Fleet& fleet, std::string name)
+      : fleet(fleet), name(std::move(name)) {
+    const UdpEndpoint local = this->socket.local_endpoint();
+    (void)fleet.log.AppendKeyed(
+        fleet.registry.EntryStream(), this->name,
+        Encode(EntryRegistration{{local.address().to_string(), local.port()},
+                                 0.1}));
+    test::Loop().Spawn([this] { this->Receive(); });
+  }
+
+  /// Sends a message to an entry of the fleet.
+  void Send(const std::string& host, EntryMessage message) {
+    message.host = HostId(this->name);
+    message.instance = {77};
+    message.sequence = ++this->sequence;
+    const auto entries =
+        this->fleet.log.ReadLatestValues(this->fleet.registry.EntryStream(), "")
+            .items;
+    const auto found =
+        std::ranges::find(entries, host, &KeyedItem::key)->value.value();
+    const Tcp::endpoint to =
+        DecodeEntryRegistration(found)->address.ToEndpoint();
+    this->socket.send_to(boost::asio::buffer(Encode(message)),
+                         {to.address(), to.port()});
+  }
+
+  /// Targets whose inventories the entry has received.
+  std::vector<TargetId> inventories;
+
+ private:
+  void Receive() {
+    std::vector<char> buffer(1ULL << 16);
+    UdpEndpoint sender;
+    while (true) {
+      const IoResult received = Await([&](auto handler) {
+        this->socket.async_receive_from(boost::asio::buffer(buffer), sender,
+                                        std::move(handler));
+      });
+      const auto message = DecodeEntryMessage({buffer.data(), received.bytes});
+      for (const TargetInventory& entry : message->inventories) {
+        this->inventories.push_back(entry.target);
+      }
+    }
+  }
+
+  Fleet& fleet;
+  std::string name;
+  std::uint64_t sequence = 0;
+  UdpSocket socket{test::Loop().Context(),
+                   {boost::asio::ip::make_address("127.0.0.1"), 0}};
+};
+
 // Entries before limited and unlimited targets of one service.
 class LimitedFleet {
  public:
@@ -101,20 +154,6 @@
     BOOST_TEST(Eventually([&] { return entry.IsReady(); }));
   }
 
-  /// Registers an entry that does not reply.
-  void AddSilentEntry() {
-    const auto loopback = boost::asio::ip::make_address("127.0.0.1");
-    this->silent_sockets.emplace_back(test::Loop().Context(),
-                                      UdpEndpoint{loopback, 0});
-    const UdpEndpoint local = this->silent_sockets.back().local_endpoint();
-    const std::string host =
-        "silent" + std::to_string(this->silent_sockets.size());
-    (void)this->fleet.log.AppendKeyed(
-        this->fleet.registry.EntryStream(), host,
-        Encode(EntryRegistration{{local.address().to_string(), local.port()},
-                                 0.1}));
-  }
-
   /// Sends a request without waiting for the response.
   void Send(std::size_t entry) {
     const std::string id = std::to_string(++this->requests);
@@ -150,7 +189,6 @@
   Fleet& fleet;
   // Their connections are served until the program ends.
   std::vector<LimitedTarget*> targets;
-  std::deque<UdpSocket> silent_sockets;
   std::size_t requests = 0;
   std::size_t answered = 0;
   std::size_t refused = 0;
@@ -213,59 +251,6 @@
   BOOST_TEST(fleet.targets[0]->Arrivals() - before <= 5U);
 }
 
-// A registered entry that the test plays.
-class ScriptedEntry {
- public:
-  explicit ScriptedEntry(Fleet& fleet) : fleet(fleet) {
-    const UdpEndpoint local = this->socket.local_endpoint();
-    (void)fleet.log.AppendKeyed(
-        fleet.registry.EntryStream(), "scripted",
-        Encode(EntryRegistration{{local.address().to_string(), local.port()},
-                                 0.1}));
-    test::Loop().Spawn([this] { this->Receive(); });
-  }
-
-  /// Sends a message to an entry of the fleet.
-  void Send(const std::string& host, EntryMessage message) {
-    message.host = HostId("scripted");
-    message.instance = {77};
-    message.sequence = ++this->sequence;
-    const auto entries =
-        this->fleet.log.ReadLatestValues(this->fleet.registry.EntryStream(), "")
-            .items;
-    const auto found =
-        std::ranges::find(entries, host, &KeyedItem::key)->value.value();
-    const Tcp::endpoint to =
-        DecodeEntryRegistration(found)->address.ToEndpoint();
-    this->socket.send_to(boost::asio::buffer(Encode(message)),
-                         {to.address(), to.port()});
-  }
-
-  /// Targets whose inventories the entry has received.
-  std::vector<TargetId> inventories;
-
- private:
-  void Receive() {
-    std::vector<char> buffer(1ULL << 16);
-    UdpEndpoint sender;
-    while (true) {
-      const IoResult received = Await([&](auto handler) {
-        this->socket.async_receive_from(boost::asio::buffer(buffer), sender,
-                                        std::move(handler));
-      });
-      const auto message = DecodeEntryMessage({buffer.data(), received.bytes});
-      for (const TargetInventory& entry : message->inventories) {
-        this->inventories.push_back(entry.target);
-      }
-    }
-  }
-
-  Fleet& fleet;
-  std::uint64_t sequence = 0;
-  UdpSocket socket{test::Loop().Context(),
-                   {boost::asio::ip::make_address("127.0.0.1"), 0}};
-};
-
 // Requests that wait for a turn at a target with a limit have its inventory;
 // the lease holder sent it with each of their reports.
 BOOST_AUTO_TEST_CASE(HolderSendsInventoriesOfLimitedTargetsAgainAndAgain) {
@@ -280,7 +265,7 @@
   const Gateway& holder = fleet.Start("h0", 0.2);
   BOOST_TEST(Eventually([&] { return holder.HoldsLease(); }));
   // Receives until the program ends.
-  auto* entry = new ScriptedEntry(fleet);
+  auto* entry = new ScriptedEntry(fleet, "scripted");
   EntryMessage limits;
   limits.limits = {{TargetId("limited"), 1, 2.0, milliseconds(0)}};
   EntryMessage report;
@@ -298,8 +283,9 @@
 // space the requests is silent.
 BOOST_AUTO_TEST_CASE(SilentEntryLeavesTheLimitToEachOther) {
   LimitedFleet fleet(3, 4, 0);
-  for (std::size_t i = 0; i < 4; ++i) {
-    fleet.AddSilentEntry();
+  for (const char* name : {"silent1", "silent2", "silent3", "silent4"}) {
+    // Receives until the program ends.
+    new ScriptedEntry(fleet.fleet, name);
   }
   fleet.SendFor(milliseconds(2000), 10);
   const TimePoint limited_from = fleet.Now();
