--- a/test/gateway/crashing_request_test.cc
+++ b/test/gateway/crashing_request_test.cc
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE crashing_request
 #include <boost/test/unit_test.hpp>
 
-#include "fleet.h"
+#include "fragile_fleet.h"
 
 // Requests that crash each target that begins to respond to them.
 namespace pimentospar {
@@ -10,147 +10,10 @@
 using std::chrono::milliseconds;
 using test::Contains;
 using test::Eventually;
-using test::Fleet;
-using test::RawConnection;
-using test::RequestIdOf;
-using test::ScriptedTarget;
+using test::FragileFleet;
+using test::kDeadlyPart;
 
-constexpr std::string_view kDeadlyPart = "dead:100";
 constexpr std::size_t kMaxCrashes = 5;
-constexpr std::size_t kTruncatedBytes = 150;
-constexpr std::string_view kConfig =
-    R"({"version":1,"services":[{"name":"s"}],"routes":[)"
-    R"({"name":"chat","host":"a.example","path_prefix":"/chat/",)"
-    R"("kind":"stream","resumable":true,"service":"s","attempts":2,)"
-    R"("timeout_ms":4000,"goal_ms":1000},)"
-    R"({"name":"call","host":"a.example","path_prefix":"/call/",)"
-    R"("kind":"safe","service":"s","attempts":2,)"
-    R"("timeout_ms":4000,"goal_ms":1000}]})";
-
-std::string CompleteStream(const std::string& id) {
-  const std::string body = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
-  return "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " + id +
-         "\r\nX-Pimentospar-Response-Stamp: s\r\nContent-Type: "
-         "text/event-stream\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string UnframedHead(const std::string& id) {
-  return "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " + id +
-         "\r\nX-Pimentospar-Response-Stamp: s\r\nContent-Type: "
-         "text/event-stream\r\n\r\n";
-}
-
-// A target that crashes when it begins to respond to a request with the deadly
-// part.
-class FragileTarget {
- public:
-  void Crash() {
-    this->crashed = true;
-    this->target.Crash();
-  }
-  [[nodiscard]] std::string Address() const { return this->target.Address(); }
-  [[nodiscard]] bool HasCrashed() const { return this->crashed; }
-
- private:
-  bool Respond(RawConnection& connection, const std::string& request) {
-    if (this->crashed) {
-      return false;
-    }
-    if (Contains(request, kDeadlyPart)) {
-      // Ends inside an event of a response without a length, or short of the
-      // length of a response that has one.
-      const std::string id = RequestIdOf(request);
-      connection.Write(Contains(request, "/chat/")
-                           ? UnframedHead(id) + "id: 1\nda"
-                           : CompleteStream(id).substr(0, kTruncatedBytes));
-      this->Crash();
-      return false;
-    }
-    connection.Write(CompleteStream(RequestIdOf(request)));
-    return true;
-  }
-
-  bool crashed = false;
-  ScriptedTarget target{
-      [this](RawConnection& connection, const std::string& request) {
-        return this->Respond(connection, request);
-      }};
-};
-
-// Entries before targets that crash.
-class FragileFleet {
- public:
-  FragileFleet(std::size_t entries, std::size_t target_count)
-      : fleet(Fleet::Create()) {
-    this->fleet.SetConfig(std::string(kConfig));
-    for (std::size_t i = 0; i < target_count; ++i) {
-      this->AddTarget();
-    }
-    for (std::size_t i = 0; i < entries; ++i) {
-      this->AddEntry();
-    }
-  }
-
-  void AddTarget() {
-    this->targets.push_back(new FragileTarget);
-    this->fleet.AddTarget("i-" + std::to_string(this->targets.size()), "s",
-                          this->targets.back()->Address());
-  }
-
-  void AddEntry() {
-    const std::string host = "h" + std::to_string(this->fleet.gateways.size());
-    const Gateway& entry = this->fleet.Start(host, 0.2);
-    BOOST_TEST(Eventually([&] { return entry.IsReady(); }));
-  }
-
-  void CrashTarget(std::size_t target) { this->targets.at(target)->Crash(); }
-
-  /// Sends a request with its own last part, and returns the response.
-  std::string Send(std::size_t entry, const std::string& shared_parts) {
-    const std::string id = std::to_string(++this->requests);
-    RawConnection caller(this->fleet.gateways.at(entry)->CallerAddress());
-    caller.Write("POST /chat/" + id +
-                 " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
-                 "X-Pimentospar-Request-Id: " +
-                 id + "\r\nX-Pimentospar-Prompt-Prefix: " + shared_parts +
-                 ",own" + id +
-                 ":10\r\nX-Pimentospar-Deadline-Ms: 4000\r\n"
-                 "Content-Length: 0\r\n\r\n");
-    return caller.ReadAll();
-  }
-
-  /// Sends a call with this body and no prompt, and returns the response.
-  std::string Call(std::size_t entry, const std::string& body) {
-    RawConnection caller(this->fleet.gateways.at(entry)->CallerAddress());
-    caller.Write(
-        "POST /call/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
-        "X-Pimentospar-Request-Id: " +
-        std::to_string(++this->requests) +
-        "\r\nX-Pimentospar-Deadline-Ms: 4000\r\nContent-Length: " +
-        std::to_string(body.size()) + "\r\n\r\n" + body);
-    return caller.ReadAll();
-  }
-
-  /// Returns the number of causes of crashes on the log.
-  [[nodiscard]] std::size_t CauseCount() const {
-    return this->fleet.log
-        .ReadLatestValues(this->fleet.registry.CrashCauseStream(), "")
-        .items.size();
-  }
-
-  [[nodiscard]] std::size_t CrashedTargets() const {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(this->targets, &FragileTarget::HasCrashed));
-  }
-
-  Fleet& fleet;
-
- private:
-  // Their connections are served until the program ends.
-  std::vector<FragileTarget*> targets;
-  std::size_t requests = 0;
-};
 
 std::string DeadlyParts(std::size_t request) {
   return "first:6000,subject" + std::to_string(request) + ":300," +
