--- a/include/pimentospar/types.h
+++ b/include/pimentospar/types.h
@@ -60,6 +60,9 @@
 /// Random number that a process draws at its start, so that it differs from the
 /// id of the previous instance.
 using InstanceId = detail::NumberId<struct InstanceTag>;
+/// Counts how often a log was restored from an older copy of itself. Within one
+/// era, an offset names one record.
+using LogEra = detail::NumberId<struct LogEraTag>;
 /// Position of a record in a log stream.
 using LogOffset = detail::NumberId<struct LogOffsetTag>;
 
--- a/src/gateway/keyed_stream_watcher.cc
+++ b/src/gateway/keyed_stream_watcher.cc
@@ -122,6 +122,7 @@
 LogStatus KeyedStreamWatcher::ReadAll() {
   std::vector<KeyedItem> all;
   std::optional<LogOffset> end;
+  LogEra era;
   std::string after;
   while (true) {
     KeyedPage page = this->log.ReadLatestValues(this->options.stream, after);
@@ -129,6 +130,7 @@
       return page.status;
     }
     end = end.value_or(page.end);
+    era = page.era;
     for (KeyedItem& item : page.items) {
       after = item.key;
       all.push_back(std::move(item));
@@ -137,6 +139,8 @@
       break;
     }
   }
+  this->LogEraChange(era);
+  this->era = era;
   this->next = *end;
   this->needs_full_read = false;
   this->newest_offsets.clear();
@@ -157,6 +161,8 @@
   if (read.status != LogStatus::kDone) {
     return read.status;
   }
+  this->LogEraChange(read.era);
+  this->era = read.era;
   for (const std::string& record : read.records) {
     const auto item = this->log.ParseKeyedRecord(record, this->next);
     ++this->next.value;
@@ -173,6 +179,15 @@
   return LogStatus::kDone;
 }
 
+void KeyedStreamWatcher::LogEraChange(LogEra current) const {
+  if (this->has_synced && current != this->era) {
+    LogWarning("log_restored", {{"stream", this->options.stream},
+                                {"era", current.value},
+                                {"next", this->next.value},
+                                {"age_ms", this->TimeSinceLastRead()}});
+  }
+}
+
 void KeyedStreamWatcher::Apply(const KeyedItem& item) {
   const auto [entry, is_new] =
       this->newest_offsets.try_emplace(item.key, item.offset);
--- a/src/gateway/keyed_stream_watcher.h
+++ b/src/gateway/keyed_stream_watcher.h
@@ -69,6 +69,7 @@
   void Apply(const KeyedItem& item);
   void OnReadSucceeded();
   void OnReadFailed(LogStatus status);
+  void LogEraChange(LogEra current) const;
 
   FiberLoop& loop;
   const Clock& clock;
@@ -81,6 +82,8 @@
   bool has_synced = false;
   bool needs_full_read = true;
   LogOffset next;
+  /// The era in which `next` counts.
+  LogEra era;
   /// Offset of the newest value of each key, so that no older value replaces
   /// it.
   std::unordered_map<std::string, LogOffset> newest_offsets;
--- a/src/gateway/shared_log.h
+++ b/src/gateway/shared_log.h
@@ -18,7 +18,8 @@
   kRefused,
   /// No answer: an append may have taken effect or may still do so.
   kUnknown,
-  /// The requested records have expired.
+  /// The requested records have expired, or the log does not have them since it
+  /// was restored from an older copy.
   kExpired
 };
 
@@ -33,6 +34,8 @@
   LogOffset end;
   /// With `kExpired`, the oldest offset that can be read.
   LogOffset first;
+  /// The era of the log when it answered. Not set without an answer.
+  LogEra era;
 };
 
 /// A change of one key, or its newest value. Without a value, the key was
@@ -51,6 +54,8 @@
   /// True if more pages follow after the last key of this one.
   bool more = false;
   LogOffset end;
+  /// The era of the log when it answered. Not set without an answer.
+  LogEra era;
 };
 
 /// The platform's shared log, as the gateway uses it. Calls suspend the calling
--- a/src/gateway/upstream_client.cc
+++ b/src/gateway/upstream_client.cc
@@ -24,13 +24,16 @@
   if (!exchange.ReadHead()) {
     return std::nullopt;
   }
-  const unsigned status = exchange.GetHead().result_int();
+  UpstreamResponse response;
+  response.status = exchange.GetHead().result_int();
+  response.headers = exchange.GetHead();
   auto body = exchange.ReadRemainingBody();
   if (!body) {
     return std::nullopt;
   }
   exchange.Release();
-  return UpstreamResponse{status, std::move(*body)};
+  response.body = std::move(*body);
+  return response;
 }
 
 std::optional<UpstreamResponse> UpstreamClient::Send(
--- a/src/gateway/upstream_client.h
+++ b/src/gateway/upstream_client.h
@@ -25,6 +25,7 @@
 struct UpstreamResponse {
   unsigned status = 0;
   std::string body;
+  boost::beast::http::fields headers;
 };
 
 /// Sends small requests and reads their responses completely. It has its own
