--- a/test/gateway/support.h
+++ b/test/gateway/support.h
@@ -268,7 +268,7 @@
     ++this->calls;
     const std::string name(stream);
     const auto wait_end = std::chrono::steady_clock::now() + wait;
-    while (!this->down && from.value >= this->streams[name].size() &&
+    while (!this->down && from.value == this->streams[name].size() &&
            std::chrono::steady_clock::now() < wait_end) {
       (void)this->changed.WaitFor(wait_end - std::chrono::steady_clock::now());
     }
@@ -278,8 +278,9 @@
       return read;
     }
     const auto& records = this->streams[name];
+    read.era = this->era;
     read.end = {records.size()};
-    if (from < this->first[name]) {
+    if (from < this->first[name] || from.value > records.size()) {
       read.status = LogStatus::kExpired;
       read.first = this->first[name];
       return read;
@@ -304,6 +305,7 @@
       return page;
     }
     page.status = LogStatus::kDone;
+    page.era = this->era;
     const auto& records = this->streams[std::string(stream)];
     page.end = {records.size()};
     std::map<std::string, KeyedItem> newest;
@@ -337,7 +339,17 @@
     return item;
   }
 
-  std::map<std::string, std::vector<std::string>> streams;
+  using Streams = std::map<std::string, std::vector<std::string>>;
+
+  /// Replaces all records by those of an earlier time.
+  void Restore(Streams copy) {
+    this->streams = std::move(copy);
+    ++this->era.value;
+    this->changed.NotifyAll();
+  }
+
+  Streams streams;
+  LogEra era{1};
   std::map<std::string, LogOffset> first;
   std::deque<bool> lost_appends;
   std::function<void()> between_pages;
