Read all values again when the log was restored

Cause: a watcher of a stream read on from its offset after the log had been restored from an older copy. Once the log had grown past that offset, what was written below it was missed for good: a confirmed configuration was never in force at that entry (CONFIG). Change: an answer of another era is not applied; all newest values are read and their offsets taken anew. Pages of two eras are not mixed.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -95,7 +95,7 @@
                                    : PollTiming{kConfigReadWait, {}};
                       }},
                      {[this](const auto& all) {
-                        for (const KeyedItem& item : all) {
+                        for (const KeyedItem& item : all.items) {
                           this->OnConfig(item);
                         }
                       },
@@ -293,9 +293,9 @@
       });
 }
 
-void Gateway::OnTargets(const std::vector<KeyedItem>& all) {
+void Gateway::OnTargets(const KeyedSnapshot& all) {
   std::set<std::string> listed;
-  for (const KeyedItem& item : all) {
+  for (const KeyedItem& item : all.items) {
     listed.insert(item.key);
     this->OnTarget(item);
   }
@@ -358,9 +358,9 @@
           {{"target", target.value}, {"gone_in_ms", removal_time - now}});
 }
 
-void Gateway::OnEntries(const std::vector<KeyedItem>& all) {
+void Gateway::OnEntries(const KeyedSnapshot& all) {
   bool listed = false;
-  for (const KeyedItem& item : all) {
+  for (const KeyedItem& item : all.items) {
     listed = listed || (item.key == this->settings.host.value &&
                         item.value == this->OwnRegistration());
     this->OnEntry(item);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -97,10 +97,10 @@
 
   // Configuration, targets and entries, as read from the log.
   void OnConfig(const KeyedItem& item);
-  void OnTargets(const std::vector<KeyedItem>& all);
+  void OnTargets(const KeyedSnapshot& all);
   void OnTarget(const KeyedItem& item);
   void OnTargetRemoved(const TargetId& target);
-  void OnEntries(const std::vector<KeyedItem>& all);
+  void OnEntries(const KeyedSnapshot& all);
   void OnEntry(const KeyedItem& item);
   [[nodiscard]] PollTiming EntryPollTiming() const;
   /// How often to read what the lease holder also sends.
--- a/src/gateway/keyed_stream_watcher.cc
+++ b/src/gateway/keyed_stream_watcher.cc
@@ -120,31 +120,41 @@
 }
 
 LogStatus KeyedStreamWatcher::ReadAll() {
-  std::vector<KeyedItem> all;
+  KeyedSnapshot all;
   std::optional<LogOffset> end;
-  LogEra era;
+  LogEra era_of_pages;
   std::string after;
   while (true) {
     KeyedPage page = this->log.ReadLatestValues(this->options.stream, after);
     if (page.status != LogStatus::kDone) {
       return page.status;
     }
+    if (end && page.era != era_of_pages) {
+      return LogStatus::kExpired;
+    }
     end = end.value_or(page.end);
-    era = page.era;
+    era_of_pages = page.era;
     for (KeyedItem& item : page.items) {
       after = item.key;
-      all.push_back(std::move(item));
+      all.items.push_back(std::move(item));
     }
     if (!page.more || page.items.empty()) {
       break;
     }
   }
-  this->LogEraChange(era);
-  this->era = era;
+  all.after_restore = this->has_synced && era_of_pages != this->era;
+  if (all.after_restore) {
+    LogWarning("log_restored", {{"stream", this->options.stream},
+                                {"era", era_of_pages.value},
+                                {"next", this->next.value},
+                                {"end", end->value},
+                                {"age_ms", this->TimeSinceLastRead()}});
+  }
+  this->era = era_of_pages;
   this->next = *end;
   this->needs_full_read = false;
   this->newest_offsets.clear();
-  for (const KeyedItem& item : all) {
+  for (const KeyedItem& item : all.items) {
     this->newest_offsets[item.key] = item.offset;
   }
   this->has_synced = true;
@@ -161,8 +171,9 @@
   if (read.status != LogStatus::kDone) {
     return read.status;
   }
-  this->LogEraChange(read.era);
-  this->era = read.era;
+  if (read.era != this->era) {
+    return LogStatus::kExpired;
+  }
   for (const std::string& record : read.records) {
     const auto item = this->log.ParseKeyedRecord(record, this->next);
     ++this->next.value;
@@ -179,15 +190,6 @@
   return LogStatus::kDone;
 }
 
-void KeyedStreamWatcher::LogEraChange(LogEra current) const {
-  if (this->has_synced && current != this->era) {
-    LogWarning("log_restored", {{"stream", this->options.stream},
-                                {"era", current.value},
-                                {"next", this->next.value},
-                                {"age_ms", this->TimeSinceLastRead()}});
-  }
-}
-
 void KeyedStreamWatcher::Apply(const KeyedItem& item) {
   const auto [entry, is_new] =
       this->newest_offsets.try_emplace(item.key, item.offset);
--- a/src/gateway/keyed_stream_watcher.h
+++ b/src/gateway/keyed_stream_watcher.h
@@ -28,10 +28,19 @@
   std::function<PollTiming()> timing;
 };
 
+/// The newest values of all keys of a stream.
+struct KeyedSnapshot {
+  std::vector<KeyedItem> items;
+  /// True if the log was restored from an older copy since the last read. The
+  /// values may then be older than what was read before, and lack keys that are
+  /// about to be written again.
+  bool after_restore = false;
+};
+
 /// Functions that a watcher calls with what it has read.
 struct WatcherCallbacks {
   /// Receives the newest values of all keys; other keys were removed.
-  std::function<void(const std::vector<KeyedItem>&)> on_full_read;
+  std::function<void(const KeyedSnapshot&)> on_full_read;
   std::function<void(const KeyedItem&)> on_change;
   /// Called when the log answers again after failed reads; may be unset.
   std::function<void()> on_recovered;
@@ -39,7 +48,9 @@
 
 /// Watches the newest value of each key of a stream. It first reads all pages
 /// of newest values, then the log from the end that the first page named, since
-/// a change that is made between two pages may be on neither.
+/// a change that is made between two pages may be on neither. When the log was
+/// restored from an older copy, its offsets name other records, so the watcher
+/// reads all values again.
 class KeyedStreamWatcher {
  public:
   KeyedStreamWatcher(FiberLoop& loop,
@@ -69,7 +80,6 @@
   void Apply(const KeyedItem& item);
   void OnReadSucceeded();
   void OnReadFailed(LogStatus status);
-  void LogEraChange(LogEra current) const;
 
   FiberLoop& loop;
   const Clock& clock;
@@ -82,7 +92,7 @@
   bool has_synced = false;
   bool needs_full_read = true;
   LogOffset next;
-  /// The era in which `next` counts.
+  /// The era in which `next` and the newest offsets count.
   LogEra era;
   /// Offset of the newest value of each key, so that no older value replaces
   /// it.
--- a/src/gateway/strike_exchange.cc
+++ b/src/gateway/strike_exchange.cc
@@ -64,7 +64,7 @@
               log,
               {this->options.stream, [this] { return this->ReadTiming(); }},
               {[this](const auto& all) {
-                 for (const KeyedItem& item : all) {
+                 for (const KeyedItem& item : all.items) {
                    this->OnPublished(item);
                  }
                },
--- a/test/gateway/keyed_stream_watcher_test.cc
+++ b/test/gateway/keyed_stream_watcher_test.cc
@@ -37,10 +37,10 @@
                        [] {
                          return PollTiming{milliseconds(20), {}};
                        }},
-        WatcherCallbacks{[this](const std::vector<KeyedItem>& all) {
+        WatcherCallbacks{[this](const KeyedSnapshot& all) {
                            ++this->full_reads;
                            this->values.clear();
-                           for (const KeyedItem& item : all) {
+                           for (const KeyedItem& item : all.items) {
                              this->values[item.key] = *item.value;
                            }
                          },
--- a/test/gateway/restored_log_test.cc
+++ b/test/gateway/restored_log_test.cc
@@ -166,7 +166,7 @@
                                      }},
                                     {[apply](const auto& all) {
                                        values.clear();
-                                       std::ranges::for_each(all, apply);
+                                       std::ranges::for_each(all.items, apply);
                                      },
                                      apply,
                                      {}});
