Give targets time to register again when the log was restored

Cause: targets whose registrations the copy lacked were removed at once by an entry that had not seen the log fail, since only failed reads started the time to register again. All requests were refused until they had (LiveTargetIsRemovedSinceTheCopyLacksIt). Change: a watcher reports a restored log like one that answers again.

--- a/src/gateway/keyed_stream_watcher.cc
+++ b/src/gateway/keyed_stream_watcher.cc
@@ -85,7 +85,7 @@
   this->poll_requested = false;
 }
 
-void KeyedStreamWatcher::OnReadSucceeded() {
+void KeyedStreamWatcher::OnReadSucceeded(bool was_restored) {
   const bool was_failing = this->failures > 0;
   this->failures = 0;
   if (was_failing) {
@@ -93,7 +93,7 @@
                              {"age_ms", this->TimeSinceLastRead()}});
   }
   this->last_read_at = this->clock.Now();
-  if (was_failing && this->callbacks.on_recovered) {
+  if ((was_failing || was_restored) && this->callbacks.on_recovered) {
     this->callbacks.on_recovered();
   }
 }
@@ -160,7 +160,7 @@
   this->has_synced = true;
   // `on_recovered` must be called before `on_full_read`, which may depend on
   // it.
-  this->OnReadSucceeded();
+  this->OnReadSucceeded(all.after_restore);
   this->callbacks.on_full_read(all);
   return LogStatus::kDone;
 }
--- a/src/gateway/keyed_stream_watcher.h
+++ b/src/gateway/keyed_stream_watcher.h
@@ -42,7 +42,8 @@
   /// Receives the newest values of all keys; other keys were removed.
   std::function<void(const KeyedSnapshot&)> on_full_read;
   std::function<void(const KeyedItem&)> on_change;
-  /// Called when the log answers again after failed reads; may be unset.
+  /// Called when the log answers again after failed reads, or was restored
+  /// since the last one; may be unset.
   std::function<void()> on_recovered;
 };
 
@@ -78,7 +79,7 @@
   [[nodiscard]] LogStatus ReadAll();
   [[nodiscard]] LogStatus ReadChanges();
   void Apply(const KeyedItem& item);
-  void OnReadSucceeded();
+  void OnReadSucceeded(bool was_restored = false);
   void OnReadFailed(LogStatus status);
 
   FiberLoop& loop;
