Name leases by the era of the log and their offset

Cause: a lease was named by its offset. After the log was restored from an older copy, another process got a lease with an offset that was still held, and targets could not tell their fencing tokens apart; processes that knew a lost lease accepted none that did not replace it, so that two held leases side by side. Change: the number of a lease, and so the fencing token, has the era above the offset. When the era changes, a candidate drops what it knew, reads all records again and waits until a lease that it knew or finds void has ended; the last holder goes on at once. Records name the era that their writer knew; one of another era is void.

--- a/include/pimentospar/store_share.h
+++ b/include/pimentospar/store_share.h
@@ -22,6 +22,8 @@
 /// Record `lease` of stream `plan`; `previous` is the lease that it replaces,
 /// if any.
 struct LeaseRecord {
+  /// Names the lease. A later lease has a higher one, also if the log was
+  /// restored from an older copy in between.
   LogOffset offset;
   PlanRecordId id;
   InstanceId instance;
@@ -105,6 +107,12 @@
   /// Called when a read that began at `read_started` has reached the tail and
   /// all its records have been passed.
   void OnTailReached(TimePoint read_started);
+  /// Called when the log was restored from an older copy, before its records
+  /// are passed again: the known lease and all own appends are lost.
+  void OnLogRestored();
+  /// Called when another process is found that may still act under a lease that
+  /// is void since the log was restored.
+  void OnVoidLease();
   /// Makes the holder replace its own lease. This voids every record under the
   /// old lease that is not yet on the log.
   void RequestNewLease() { this->replacement_requested = true; }
@@ -159,6 +167,8 @@
   std::optional<TimePoint> held_until;
   std::optional<TimePoint> acquire_at;
   Duration acquire_delay{0};
+  /// Until then, another process may act under a lease that is void.
+  TimePoint void_lease_until = TimePoint::min();
   TimePoint last_sent{};
   std::vector<Pending> pending;
   bool replacement_requested = false;
--- a/src/gateway/lease_manager.cc
+++ b/src/gateway/lease_manager.cc
@@ -22,6 +22,16 @@
 // each record of one candidate would end the waiting reads of all others.
 constexpr std::chrono::milliseconds kMinCandidateReadInterval{250};
 
+// Bits of a lease number that hold the offset; those above hold the era.
+// Numbers stay exact where they are handled as floating-point numbers.
+constexpr unsigned kOffsetBits = 40;
+
+// Records without an era were written before the log was ever restored.
+LogEra EraOf(const json::object& record) {
+  const json::value* era = record.if_contains("era");
+  return {era == nullptr ? 0 : era->to_number<std::uint64_t>()};
+}
+
 struct RecordEncoder {
   json::object operator()(const AppendLease& lease) const {
     json::object record{
@@ -157,6 +167,7 @@
   }
   json::object record = std::visit(RecordEncoder{}, *action);
   record["address"] = this->address;
+  record["era"] = this->era.value_or(LogEra{}).value;
   const LogStatus status =
       this->log.Append(this->options.stream, json::serialize(record));
   if (status != LogStatus::kDone) {
@@ -173,11 +184,16 @@
   const TimePoint started = this->clock.Now();
   const LogRead read =
       this->log.Read(this->options.stream, this->next, read_wait);
-  if (read.status == LogStatus::kExpired) {
-    this->next = read.first;
+  const bool has_answer =
+      read.status == LogStatus::kDone || read.status == LogStatus::kExpired;
+  if (!has_answer) {
     return read.status;
   }
-  if (read.status != LogStatus::kDone) {
+  if (this->EnterEra(read.era)) {
+    return LogStatus::kExpired;
+  }
+  if (read.status == LogStatus::kExpired) {
+    this->next = read.first;
     return read.status;
   }
   for (const std::string& record : read.records) {
@@ -190,6 +206,26 @@
   return read.status;
 }
 
+bool LeaseManager::EnterEra(LogEra current) {
+  if (this->era == current) {
+    return false;
+  }
+  const bool was_restored = this->era.has_value();
+  this->era = current;
+  if (was_restored) {
+    LogWarning("log_restored", {{"stream", this->options.stream},
+                                {"era", current.value},
+                                {"next", this->next.value}});
+    this->next = {};
+    this->lease.OnLogRestored();
+  }
+  return was_restored;
+}
+
+LogOffset LeaseManager::LeaseNumber(LogOffset offset) const {
+  return {(this->era.value_or(LogEra{}).value << kOffsetBits) | offset.value};
+}
+
 void LeaseManager::ApplyRecord(std::string_view text, LogOffset offset) {
   error_code error;
   const json::value value = json::parse(text, error);
@@ -199,8 +235,10 @@
     return;
   }
   try {
-    if (record->at("type") == "lease") {
-      const LeaseRecord lease = ParseLease(*record, offset);
+    if (EraOf(*record) != this->era) {
+      this->OnVoidRecord(*record);
+    } else if (record->at("type") == "lease") {
+      const LeaseRecord lease = ParseLease(*record, this->LeaseNumber(offset));
       (void)this->lease.OnLease(lease);
       this->OnHolderRecord(*record, lease.instance);
     } else if (record->at("type") == "renew") {
@@ -217,6 +255,15 @@
   }
 }
 
+// The writer of a record of another era may still act under its lease, unless
+// it is this process or its predecessor at the same address.
+void LeaseManager::OnVoidRecord(const json::object& record) {
+  const json::value* address = record.if_contains("address");
+  if (address == nullptr || *address != json::string(this->address)) {
+    this->lease.OnVoidLease();
+  }
+}
+
 // If the record names the address of this process, the lease holder is a former
 // process at that address. It has exited, since this process listens there.
 void LeaseManager::OnHolderRecord(const json::object& record,
--- a/src/gateway/lease_manager.h
+++ b/src/gateway/lease_manager.h
@@ -23,7 +23,9 @@
 };
 
 /// Acquires and renews the planner's lease: feeds `PlannerLease` the records of
-/// its stream on the shared log and appends the records that it requests.
+/// its stream on the shared log and appends the records that it requests. Each
+/// record names the era of the log that its writer knew; one of another era is
+/// void, since it may tell of leases that the log has lost.
 class LeaseManager {
  public:
   LeaseManager(FiberLoop& loop,
@@ -61,7 +63,15 @@
   [[nodiscard]] std::chrono::milliseconds MaxReadWait() const;
   void PauseAfterRead() const;
   [[nodiscard]] LogStatus Read(std::chrono::milliseconds read_wait);
+  /// Notes the era of an answer. If the log was restored since the last one,
+  /// drops what was read before, so that all records are read again, and
+  /// returns true.
+  [[nodiscard]] bool EnterEra(LogEra current);
+  /// Returns the number of a lease whose record has this offset. Offsets are
+  /// given out again after a restore, numbers are not.
+  [[nodiscard]] LogOffset LeaseNumber(LogOffset offset) const;
   void ApplyRecord(std::string_view record, LogOffset offset);
+  void OnVoidRecord(const boost::json::object& record);
   void OnHolderRecord(const boost::json::object& record, InstanceId instance);
   void LogHeldChange();
 
@@ -74,6 +84,8 @@
   PlannerLease lease;
   std::string address;
   LogOffset next;
+  /// The era in which `next` counts; unset before the first read.
+  std::optional<LogEra> era;
   /// The newest own lease; reset once a newer lease of another process is
   /// known.
   std::optional<LogOffset> last_held_lease;
--- a/src/store_share.cc
+++ b/src/store_share.cc
@@ -82,6 +82,22 @@
   this->tail_reached = true;
 }
 
+void PlannerLease::OnLogRestored() {
+  if (this->current && this->current->instance != this->self) {
+    this->void_lease_until = this->renewed_at + this->current->duration;
+  }
+  this->current.reset();
+  this->held_until.reset();
+  this->acquire_at.reset();
+  this->pending.clear();
+  this->tail_reached = false;
+  this->replacement_requested = false;
+}
+
+void PlannerLease::OnVoidLease() {
+  this->void_lease_until = this->clock.Now() + this->options.duration;
+}
+
 std::optional<LeaseAction> PlannerLease::Step() {
   if (!this->tail_reached || this->IsAppendPending()) {
     return std::nullopt;
@@ -105,8 +121,11 @@
   if (this->acquire_at) {
     return *this->acquire_at;
   }
-  return this->CanAcquire() ? this->clock.Now()
-                            : this->renewed_at + this->current->duration;
+  if (this->CanAcquire()) {
+    return this->clock.Now();
+  }
+  return this->current ? this->renewed_at + this->current->duration
+                       : this->void_lease_until;
 }
 
 std::optional<LogOffset> PlannerLease::Held() const {
@@ -129,6 +148,9 @@
 // lease expires for readers, however late a renewal was read: only this process
 // could act under it.
 bool PlannerLease::CanAcquire() const {
+  if (!this->current) {
+    return this->clock.Now() >= this->void_lease_until;
+  }
   return this->HasExpired() || this->current->instance == this->self;
 }
 
--- a/test/gateway/support.h
+++ b/test/gateway/support.h
@@ -349,7 +349,7 @@
   }
 
   Streams streams;
-  LogEra era{1};
+  LogEra era;
   std::map<std::string, LogOffset> first;
   std::deque<bool> lost_appends;
   std::function<void()> between_pages;
