Keep a target leaving for the rest of its incarnation

Cause: a restored log named a target as ready that had said it leaves, and entries sent requests to it again (DRAIN). Change: an incarnation that has once been draining stays so; one with another start time or address is judged by its own word.

--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -179,6 +179,8 @@
                  RandomSource& random,
                  TargetSelectorOptions options);
 
+  /// Adds a target, or changes its description. An incarnation of a target that
+  /// has once been draining stays so, whatever its registration says later.
   void OnTarget(const TargetDescription& target);
   /// The target's registration was removed; it gets no requests from
   /// `removed_at` on, unless it registers again before. Returns false if the
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -317,7 +317,7 @@
         BOOST_LEAF_AUTO(target,
                         this->platform.registry.DecodeTarget(id, *item.value));
         const TargetDescription* known = this->targets.Find(id);
-        if (known == nullptr || known->draining != target.draining ||
+        if (known == nullptr || (target.draining && !known->draining) ||
             known->address != target.address ||
             known->inventory.started_ms != target.inventory.started_ms) {
           this->registration_feed.QueueChange({id, *item.value});
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -19,6 +19,12 @@
 // Engines are rarely added or removed, so they are not split for each request.
 constexpr std::chrono::milliseconds kPromptSplitInterval{500};
 
+bool IsSameIncarnation(const TargetDescription& one,
+                       const TargetDescription& other) {
+  return one.inventory.started_ms == other.inventory.started_ms &&
+         one.address == other.address;
+}
+
 }  // namespace
 
 TargetSelector::TargetSelector(const Clock& clock,
@@ -34,6 +40,8 @@
   }
   KnownTarget& known = entry->second;
   known.removed_at.reset();
+  const bool keeps_leaving = known.description.draining &&
+                             IsSameIncarnation(known.description, target);
   const bool restarted =
       target.inventory.started_ms > known.description.inventory.started_ms;
   if (restarted || target.address != known.description.address) {
@@ -46,6 +54,7 @@
   Inventory inventory = std::move(known.description.inventory);
   known.description = target;
   std::swap(known.description.inventory, inventory);
+  known.description.draining = target.draining || keeps_leaving;
   this->OnInventory(target.id, inventory, InventorySource::kRegistration);
 }
 
