Pass over registrations of a restored log that are older than what is known

Cause: a restored log listed targets that had been removed, and the former address of one that had started again; an entry took both for news and sent requests there (DRAIN, failed attempts). Change: in the first read after a restore, a registration counts only if the incarnation was not removed lately and no later one is known. What is written after the restore counts as before; a live target writes within a heartbeat.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -78,6 +78,7 @@
       platform(platform),
       instance{random.Next()},
       targets(clock, random, MakeSelectorOptions(settings)),
+      removed_targets(clock),
       retry_budget(clock, settings.retries),
       crashes(clock,
               pool,
@@ -297,6 +298,11 @@
   std::set<std::string> listed;
   for (const KeyedItem& item : all.items) {
     listed.insert(item.key);
+    if (all.after_restore && this->IsFromThePast(item)) {
+      LogInfo("registration_outdated",
+              {{"target", item.key}, {"offset", item.offset.value}});
+      continue;
+    }
     this->OnTarget(item);
   }
   for (const TargetDescription& target : this->targets.Targets()) {
@@ -306,6 +312,19 @@
   }
 }
 
+bool Gateway::IsFromThePast(const KeyedItem& item) const {
+  const TargetId id(item.key);
+  const auto listed =
+      this->platform.registry.DecodeTarget(id, item.value.value_or(""));
+  if (!listed) {
+    return false;
+  }
+  const std::int64_t started_ms = listed->inventory.started_ms;
+  const TargetDescription* known = this->targets.Find(id);
+  return this->removed_targets.Contains(id, started_ms) ||
+         (known != nullptr && started_ms < known->inventory.started_ms);
+}
+
 void Gateway::OnTarget(const KeyedItem& item) {
   const TargetId id(item.key);
   if (!item.value) {
@@ -328,6 +347,7 @@
                                    {"offset", item.offset.value}});
         }
         this->targets.OnTarget(target);
+        this->removed_targets.OnRegistered(id);
         this->targets_changed.NotifyAll();
         return {};
       },
@@ -350,9 +370,11 @@
           ? std::max(now, *this->targets_recovered_at +
                               this->settings.registration_recovery_time)
           : now;
-  if (!this->targets.OnRemoved(target, removal_time)) {
+  const TargetDescription* known = this->targets.Find(target);
+  if (known == nullptr || !this->targets.OnRemoved(target, removal_time)) {
     return;
   }
+  this->removed_targets.OnRemoved(target, known->inventory.started_ms);
   this->registration_feed.QueueChange({target, {}});
   LogInfo("target_removed",
           {{"target", target.value}, {"gone_in_ms", removal_time - now}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/timer_queue.h"
 #include "gateway/upstream.h"
 #include "net/metrics.h"
+#include "pimentospar/routing/removed_targets.h"
 
 namespace pimentospar {
 
@@ -100,6 +101,9 @@
   void OnTargets(const KeyedSnapshot& all);
   void OnTarget(const KeyedItem& item);
   void OnTargetRemoved(const TargetId& target);
+  /// Returns whether a registration in a restored log is older than what is
+  /// known of the target: it was removed since, or has started again.
+  [[nodiscard]] bool IsFromThePast(const KeyedItem& item) const;
   void OnEntries(const KeyedSnapshot& all);
   void OnEntry(const KeyedItem& item);
   [[nodiscard]] PollTiming EntryPollTiming() const;
@@ -137,6 +141,7 @@
   InstanceId instance;
   Metrics metrics;
   TargetSelector targets;
+  RemovedTargets removed_targets;
   FiberSignal targets_changed;
   SharedRetryBudget retry_budget;
   StreamLengthEstimator stream_lengths;
