Register an entry again when its registration was lost

Cause: an entry that does not hold the lease reads the other entries every 30 s, so it did not see that a restored log had lost its own registration. The lease holder sends it nothing after a change of holders, or if the restore came before the holder had read it. Change: an entry that finds the log restored, or hears of a lease of a later era, reads all its streams at once. The number of a lease stands in a header of its own.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -294,7 +294,17 @@
       });
 }
 
+void Gateway::ReadRestoredLog() {
+  this->config_watcher.PollNow();
+  this->target_watcher.PollNow();
+  this->entry_watcher.PollNow();
+  this->strike_exchange.PollNow();
+}
+
 void Gateway::OnTargets(const KeyedSnapshot& all) {
+  if (all.after_restore) {
+    this->ReadRestoredLog();
+  }
   std::set<std::string> listed;
   for (const KeyedItem& item : all.items) {
     listed.insert(item.key);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -97,6 +97,9 @@
                       std::string_view body);
 
   // Configuration, targets and entries, as read from the log.
+  /// Reads all streams at once, since one of them shows that the log was
+  /// restored from an older copy.
+  void ReadRestoredLog();
   void OnConfig(const KeyedItem& item);
   void OnTargets(const KeyedSnapshot& all);
   void OnTarget(const KeyedItem& item);
--- a/src/gateway/gateway_messages.cc
+++ b/src/gateway/gateway_messages.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "gateway/gateway.h"
+#include "gateway/lease_number.h"
 
 // The messages between the entries.
 namespace pimentospar {
@@ -125,6 +126,9 @@
     this->PollEntriesForSender();
   }
   if (message.lease) {
+    if (EraOfLease(*message.lease) > this->target_watcher.Era()) {
+      this->ReadRestoredLog();
+    }
     this->lease.OnAnnouncedLease(*message.lease,
                                  this->HolderReachesLog(message));
     if (!this->lease.Held()) {
--- a/src/gateway/keyed_stream_watcher.h
+++ b/src/gateway/keyed_stream_watcher.h
@@ -69,6 +69,8 @@
   }
   /// Returns whether all keys have been read at least once.
   [[nodiscard]] bool HasSynced() const { return this->has_synced; }
+  /// Returns the era of the log in which the values were read.
+  [[nodiscard]] LogEra Era() const { return this->era; }
   /// Returns the time since the log last answered, which is the age of the
   /// known values.
   [[nodiscard]] Duration TimeSinceLastRead() const;
--- a/src/gateway/lease_manager.cc
+++ b/src/gateway/lease_manager.cc
@@ -4,6 +4,7 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 
+#include "gateway/lease_number.h"
 #include "net/log_line.h"
 
 namespace pimentospar {
@@ -22,10 +23,6 @@
 // each record of one candidate would end the waiting reads of all others.
 constexpr std::chrono::milliseconds kMinCandidateReadInterval{250};
 
-// Bits of a lease number that hold the offset; those above hold the era.
-// Numbers stay exact where they are handled as floating-point numbers.
-constexpr unsigned kOffsetBits = 40;
-
 // Records without an era were written before the log was ever restored.
 LogEra EraOf(const json::object& record) {
   const json::value* era = record.if_contains("era");
@@ -222,10 +219,6 @@
   return was_restored;
 }
 
-LogOffset LeaseManager::LeaseNumber(LogOffset offset) const {
-  return {(this->era.value_or(LogEra{}).value << kOffsetBits) | offset.value};
-}
-
 void LeaseManager::ApplyRecord(std::string_view text, LogOffset offset) {
   error_code error;
   const json::value value = json::parse(text, error);
@@ -238,7 +231,8 @@
     if (EraOf(*record) != this->era) {
       this->OnVoidRecord(*record);
     } else if (record->at("type") == "lease") {
-      const LeaseRecord lease = ParseLease(*record, this->LeaseNumber(offset));
+      const LeaseRecord lease =
+          ParseLease(*record, LeaseNumber(*this->era, offset));
       (void)this->lease.OnLease(lease);
       this->OnHolderRecord(*record, lease.instance);
     } else if (record->at("type") == "renew") {
--- a/src/gateway/lease_manager.h
+++ b/src/gateway/lease_manager.h
@@ -67,9 +67,6 @@
   /// drops what was read before, so that all records are read again, and
   /// returns true.
   [[nodiscard]] bool EnterEra(LogEra current);
-  /// Returns the number of a lease whose record has this offset. Offsets are
-  /// given out again after a restore, numbers are not.
-  [[nodiscard]] LogOffset LeaseNumber(LogOffset offset) const;
   void ApplyRecord(std::string_view record, LogOffset offset);
   void OnVoidRecord(const boost::json::object& record);
   void OnHolderRecord(const boost::json::object& record, InstanceId instance);
--- a/src/gateway/strike_exchange.h
+++ b/src/gateway/strike_exchange.h
@@ -36,6 +36,8 @@
                  StrikeExchangeOptions options);
 
   void Start();
+  /// Reads the log at once.
+  void PollNow() { this->watcher.PollNow(); }
 
  private:
   void MaintainLog();
