Publish causes of crashes again that the log has lost

Cause: an entry remembered which causes it had published, so one that a restored log had lost was never written again, and an entry that started later ran requests that crash targets (BUDGET). Change: a full read of the stream decides which causes are published. Result: CauseOfCrashesStaysLostAfterARestore failed in and passes; crashing_request_test and repeated_request_test pass.

--- a/src/gateway/strike_exchange.cc
+++ b/src/gateway/strike_exchange.cc
@@ -64,6 +64,8 @@
               log,
               {this->options.stream, [this] { return this->ReadTiming(); }},
               {[this](const auto& all) {
+                 // Causes that the log has lost are published again.
+                 this->published.clear();
                  for (const KeyedItem& item : all.items) {
                    this->OnPublished(item);
                  }
