Take a configuration whose version is given again

Cause: a configuration that was read but never confirmed can be lost with a restored log, and its version be given to another one. Entries that had read the first ignored the second, so that its routes got 404 there (CONFIG). Change: another text under the version in force replaces it. An older version from the copy still does not.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "net/address.h"
 #include "net/log_line.h"
+#include "pimentospar/digest.h"
 #include "pimentospar/planning/fleet_timing.h"
 
 namespace pimentospar {
@@ -262,6 +263,14 @@
   return channel.SendResponse(head, body);
 }
 
+bool Gateway::IsNewConfig(ConfigVersion version, std::uint64_t hash) const {
+  if (this->routes == nullptr) {
+    return true;
+  }
+  const ConfigVersion current = this->routes->Config().version;
+  return version > current || (version == current && hash != this->config_hash);
+}
+
 void Gateway::OnConfig(const KeyedItem& item) {
   if (item.key != this->platform.registry.ConfigKey() || !item.value) {
     return;
@@ -270,10 +279,11 @@
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(config,
                         this->platform.registry.DecodeConfig(*item.value));
-        if (this->routes != nullptr &&
-            config.version <= this->routes->Config().version) {
+        const std::uint64_t hash = Hash64(*item.value);
+        if (!this->IsNewConfig(config.version, hash)) {
           return {};
         }
+        this->config_hash = hash;
         const CallerLimits limits = config.limits;
         this->routes = std::make_shared<const RouteTable>(std::move(config));
         this->caller_server.SetLimits(limits);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -101,6 +101,11 @@
   /// restored from an older copy.
   void ReadRestoredLog();
   void OnConfig(const KeyedItem& item);
+  /// Returns whether a configuration replaces the one in force: a later
+  /// version, or another text under the same one, which a restored log has lost
+  /// and given out again.
+  [[nodiscard]] bool IsNewConfig(ConfigVersion version,
+                                 std::uint64_t hash) const;
   void OnTargets(const KeyedSnapshot& all);
   void OnTarget(const KeyedItem& item);
   void OnTargetRemoved(const TargetId& target);
@@ -152,6 +157,8 @@
   CrashTracker crashes;
   RegistrationFeed registration_feed;
   std::shared_ptr<const RouteTable> routes;
+  /// Hash of the text of the configuration that is in force.
+  std::uint64_t config_hash = 0;
   KeyedStreamWatcher config_watcher;
   KeyedStreamWatcher target_watcher;
   KeyedStreamWatcher entry_watcher;
