Send no new requests to a target that says in a response that it leaves

Cause: a leaving target names that in all its responses, seconds before its registration does; no code read it (DRAIN). Change: a leaving notice in any response (success, error, refusal, stream, report, answer to an order) ends new requests from this entry to that incarnation, whatever its registration says later. Streams that run go on. A successor under the same name is not held to it.

--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -45,6 +45,12 @@
   std::uint32_t waiting = 0;
 };
 
+/// What a target says of itself in a response of any kind.
+struct TargetNotice {
+  /// The target is about to end and takes no new requests.
+  bool leaving = false;
+};
+
 /// Parameters of target selection. Costs are times that are added to the
 /// expected time to first byte.
 struct TargetSelectorOptions {
@@ -191,6 +197,11 @@
                    InventorySource source);
   /// The target refused a request because it has not loaded the copy.
   void OnCopyMissing(const TargetId& target, const CopyRef& copy);
+  /// The incarnation of a target that started at `started_ms`, in milliseconds
+  /// since the Unix epoch, has sent a notice.
+  void OnNotice(const TargetId& target,
+                std::int64_t started_ms,
+                const TargetNotice& notice);
   /// Another target responds at this target's address.
   void OnReplaced(const TargetId& target);
   /// The target has a limit and takes no request before `until`.
--- a/src/gateway/order_dispatcher.cc
+++ b/src/gateway/order_dispatcher.cc
@@ -113,7 +113,7 @@
     }
     for (const TargetDescription& target : this->EnginesWithKnownState()) {
       this->loop.Spawn([this, target] {
-        if (const auto state = this->control.FetchState(target)) {
+        if (const auto state = this->FetchState(target)) {
           this->targets.OnLoadReport(target.id, state->load);
           this->loads[target.id] = state->load;
         }
@@ -232,6 +232,7 @@
   const TimePoint start = this->clock.Now();
   const OrderAnswer answer =
       this->control.Send(target, order, after, FencingToken{held->value + 1});
+  this->RecordNotices();
   this->metrics.Count(CountedEvent::kOrderSent);
   LogInfo("order_given", {{"target", order.target.value},
                           {"kind", ToString(order.kind)},
@@ -315,7 +316,7 @@
       return PlannedOrderOutcome::kUnknown;
     }
     const TargetDescription target = *found;
-    const auto state = this->control.FetchState(target);
+    const auto state = this->FetchState(target);
     if (state && HasCopy(state->inventory, order.copy) == loads &&
         !state->busy) {
       this->metrics.Count(loads ? CountedEvent::kLoadDone
@@ -333,13 +334,26 @@
   return PlannedOrderOutcome::kUnknown;
 }
 
+std::optional<TargetState> OrderDispatcher::FetchState(
+    const TargetDescription& target) {
+  auto state = this->control.FetchState(target);
+  this->RecordNotices();
+  return state;
+}
+
+void OrderDispatcher::RecordNotices() {
+  for (const TargetNoticeReport& report : this->control.TakeNotices()) {
+    this->targets.OnNotice(report.target, report.started_ms, report.notice);
+  }
+}
+
 bool OrderDispatcher::Refresh(const TargetId& target) {
   const TargetDescription* found = this->targets.Find(target);
   if (found == nullptr) {
     return false;
   }
   const TargetDescription description = *found;
-  const auto state = this->control.FetchState(description);
+  const auto state = this->FetchState(description);
   if (!state || this->IsOutdated(target, state->inventory)) {
     return false;
   }
--- a/src/gateway/order_dispatcher.h
+++ b/src/gateway/order_dispatcher.h
@@ -62,6 +62,10 @@
   [[nodiscard]] PlannedOrderOutcome SendAndAwait(const PlannedOrder& order);
   [[nodiscard]] PlannedOrderOutcome AwaitCompletion(const PlannedOrder& order);
   [[nodiscard]] PlannedOrderOutcome AwaitModelOrder(const PlannedOrder& order);
+  /// Reads the state of a target and records its notices.
+  [[nodiscard]] std::optional<TargetState> FetchState(
+      const TargetDescription& target);
+  void RecordNotices();
   void ScheduleRefresh(const TargetId& target);
   /// Reads and publishes the state of a target. Returns false if the target
   /// does not answer, its state is outdated, or it is executing an order, so
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -57,6 +57,7 @@
   /// Another target responded at the address.
   bool is_other_target = false;
   std::optional<ReportedLoad> load;
+  TargetNotice notice;
   /// Requests per second that the target takes from all entries together;
   /// nothing if it has not named a limit.
   std::optional<double> rate_limit;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -357,6 +357,7 @@
     return AttemptStatus::kUnknown;
   }
   this->deps.targets.OnFirstByte(attempt.id);
+  this->RecordNotice(attempt);
   if (attempt.meta.load) {
     this->deps.targets.OnLoadReport(attempt.target.target, *attempt.meta.load);
   }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -133,6 +133,8 @@
   [[nodiscard]] static AttemptOutcome ToAttemptOutcome(
       AttemptStatus attempt_status,
       Reason reason);
+  /// Records what the response says of its target.
+  void RecordNotice(const Attempt& attempt);
   void OnAttemptEnd(Attempt& attempt, AttemptStatus attempt_status);
   void LogFailedAttempt(const Attempt& attempt) const;
   void LogRateLimit(const Attempt& attempt) const;
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -170,6 +170,19 @@
            {"config", this->table->Config().version.value}});
 }
 
+void RequestHandler::RecordNotice(const Attempt& attempt) {
+  const TargetNotice& notice = attempt.meta.notice;
+  if (!notice.leaving || attempt.meta.is_other_target) {
+    return;
+  }
+  LogInfo("target_notice", {{"request", this->meta.id},
+                            {"target", attempt.target.target.value},
+                            {"started", attempt.target.started_ms},
+                            {"leaving", notice.leaving ? 1 : 0}});
+  this->deps.targets.OnNotice(attempt.target.target, attempt.target.started_ms,
+                              notice);
+}
+
 void RequestHandler::LogRateLimit(const Attempt& attempt) const {
   LogInfo("target_rate_limit",
           {{"request", this->meta.id},
--- a/src/gateway/target_control.h
+++ b/src/gateway/target_control.h
@@ -37,6 +37,14 @@
   ReportedLoad load;
 };
 
+/// A notice of one incarnation of a target.
+struct TargetNoticeReport {
+  TargetId target;
+  /// Start time of the incarnation in milliseconds since the Unix epoch.
+  std::int64_t started_ms = 0;
+  TargetNotice notice;
+};
+
 /// Sends orders to targets and reads their states. Calls suspend the calling
 /// fiber.
 class TargetControl {
@@ -52,6 +60,10 @@
   /// Returns nothing if the target does not answer.
   [[nodiscard]] virtual std::optional<TargetState> FetchState(
       const TargetDescription& target) = 0;
+  /// Returns the notices in all responses since the last call.
+  [[nodiscard]] virtual std::vector<TargetNoticeReport> TakeNotices() {
+    return {};
+  }
 };
 
 }  // namespace pimentospar
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -116,6 +116,18 @@
   }
 }
 
+void TargetSelector::OnNotice(const TargetId& target,
+                              std::int64_t started_ms,
+                              const TargetNotice& notice) {
+  const auto found = this->targets.find(target);
+  if (found == this->targets.end() ||
+      found->second.description.inventory.started_ms != started_ms) {
+    return;
+  }
+  TargetDescription& description = found->second.description;
+  description.draining = description.draining || notice.leaving;
+}
+
 void TargetSelector::OnReplaced(const TargetId& target) {
   (void)this->OnRemoved(target, this->clock.Now());
 }
--- a/test/gateway/platform_test.cc
+++ b/test/gateway/platform_test.cc
@@ -164,6 +164,28 @@
   BOOST_TEST(!this->control.FetchState(this->Target()));
 }
 
+// A report is the only response of a target that gets no requests.
+BOOST_FIXTURE_TEST_CASE(LeavingTargetIsMissedInAReportOrAnOrder, Fixture) {
+  this->response =
+      "HTTP/1.1 503 x\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+  BOOST_TEST(!this->control.FetchState(this->Target()));
+  const PlannedOrder order{TargetId("i-1"), OrderKind::kLoad, {}};
+  (void)this->control.Send(this->Target(), order, 4, {9});
+  const auto notices = this->control.TakeNotices();
+  BOOST_REQUIRE(notices.size() == 2U);
+  for (const TargetNoticeReport& report : notices) {
+    BOOST_TEST(report.notice.leaving);
+    BOOST_TEST((report.target == TargetId("i-1")));
+    BOOST_TEST(report.started_ms == 7);
+  }
+  BOOST_TEST(this->control.TakeNotices().empty());
+  // Another target at the address speaks for itself.
+  this->response =
+      "HTTP/1.1 421 x\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+  BOOST_TEST(!this->control.FetchState(this->Target()));
+  BOOST_TEST(this->control.TakeNotices().empty());
+}
+
 BOOST_AUTO_TEST_CASE(ReadsRequestHeaders) {
   HttpFields fields;
   fields.set("X-Pimentospar-Request-Id", "r1");
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -61,6 +61,23 @@
   }
 };
 
+// The registration may say for seconds that a leaving target is ready; its
+// successor speaks for itself.
+BOOST_FIXTURE_TEST_CASE(SuccessorIsHeldToTheWordOfALeavingTarget, Fixture) {
+  this->selector.OnTarget(Target("t"));
+  this->selector.OnNotice(TargetId("t"), 1, {.leaving = true});
+  BOOST_TEST(this->SelectedName(this->Query()).empty());
+  this->selector.OnTarget(Target("t"));
+  BOOST_TEST(this->SelectedName(this->Query()).empty());
+  TargetDescription successor = Target("t");
+  successor.inventory.started_ms = 2;
+  this->selector.OnTarget(successor);
+  BOOST_TEST(this->SelectedName(this->Query()) == "t");
+  // A response of the predecessor arrives late.
+  this->selector.OnNotice(TargetId("t"), 1, {.leaving = true});
+  BOOST_TEST(this->SelectedName(this->Query()) == "t");
+}
+
 BOOST_FIXTURE_TEST_CASE(ReportsWhichCopyIsMissing, Fixture) {
   BOOST_TEST(std::holds_alternative<NoUsableTarget>(
       this->selector.Select(this->Query())));
