Keep away from a target that refuses with Retry-After for so long

Change: until that time has passed the entry selects the target for nothing, also not for retries and trials, and as lease holder neither reads its state nor orders it. If no other target can serve a request, it is refused at once with the time that is left. A new incarnation starts without it.

--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -49,6 +49,12 @@
 struct TargetNotice {
   /// The target is about to end and takes no new requests.
   bool leaving = false;
+  /// The target wants nothing from this entry for this time.
+  std::optional<Duration> retry_after;
+
+  [[nodiscard]] bool IsEmpty() const {
+    return !this->leaving && !this->retry_after;
+  }
 };
 
 /// Parameters of target selection. Costs are times that are added to the
@@ -146,7 +152,8 @@
   /// Shortest expected time to the end of the response among these targets.
   Duration shortest_completion{0};
 };
-/// Targets have loaded the copy, but none of them takes a request now.
+/// Targets have loaded the copy, but none of them takes a request now: they
+/// have a limit, or asked to get nothing for some time.
 struct AllTargetsLimited {
   /// Time until one of them may take a request.
   Duration retry_after{0};
@@ -202,6 +209,9 @@
   void OnNotice(const TargetId& target,
                 std::int64_t started_ms,
                 const TargetNotice& notice);
+  /// Returns whether the target has asked to get nothing for some time that is
+  /// not over yet.
+  [[nodiscard]] bool WantsNothing(const TargetId& target) const;
   /// Another target responds at this target's address.
   void OnReplaced(const TargetId& target);
   /// The target has a limit and takes no request before `until`.
@@ -262,6 +272,7 @@
     double others_waiting = 0;
     TimePoint load_reported_at;
     TimePoint permit_denied_until;
+    TimePoint wants_nothing_until;
     std::optional<TimePoint> responded_at;
     /// Moving average of the ratio of actual to expected time to first byte.
     double latency_factor = 1;
--- a/src/gateway/order_dispatcher.h
+++ b/src/gateway/order_dispatcher.h
@@ -62,7 +62,8 @@
   [[nodiscard]] PlannedOrderOutcome SendAndAwait(const PlannedOrder& order);
   [[nodiscard]] PlannedOrderOutcome AwaitCompletion(const PlannedOrder& order);
   [[nodiscard]] PlannedOrderOutcome AwaitModelOrder(const PlannedOrder& order);
-  /// Reads the state of a target and records its notices.
+  /// Reads the state of a target and records its notices. Returns nothing if
+  /// the target does not answer, or is not asked since it wants nothing.
   [[nodiscard]] std::optional<TargetState> FetchState(
       const TargetDescription& target);
   void RecordNotices();
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -160,6 +160,9 @@
   /// Refuses a request that no target could take. `Retry-After` depends on the
   /// cause, such as the load of a copy.
   bool RefuseWithoutTarget();
+  /// Returns when a caller may come back that is refused after its request was
+  /// offered to targets.
+  [[nodiscard]] Duration RetryAfterRefusal() const;
   bool Refuse(unsigned status,
               Reason reason,
               std::optional<Duration> retry_after);
@@ -198,6 +201,10 @@
   /// How the request may run, as of the last check.
   QuarantineDecision admission = RunNormally{};
   bool survival_recorded = false;
+  /// Shortest time for which targets that refused this request want nothing,
+  /// and the number of those that said so.
+  std::optional<Duration> shortest_retry_after;
+  std::uint32_t retry_after_count = 0;
   bool demand_recorded = false;
 };
 
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -91,12 +91,22 @@
       this->tried_targets.empty() && reason == Reason::kNoTarget) {
     return this->RefuseWithoutTarget();
   }
-  const auto* quarantined = std::get_if<RefuseQuarantined>(&this->admission);
-  return this->Refuse(
-      kUnavailable, reason,
-      quarantined == nullptr
-          ? Duration(kDefaultRetryAfter)
-          : std::max(quarantined->trial_delay, Duration(kMinTrialTime)));
+  return this->Refuse(kUnavailable, reason, this->RetryAfterRefusal());
+}
+
+Duration RequestHandler::RetryAfterRefusal() const {
+  if (const auto* quarantined =
+          std::get_if<RefuseQuarantined>(&this->admission)) {
+    return std::max(quarantined->trial_delay, Duration(kMinTrialTime));
+  }
+  if (const auto* limited =
+          std::get_if<AllTargetsLimited>(&this->last_selection)) {
+    return std::max(limited->retry_after, Duration(kDefaultRetryAfter));
+  }
+  const bool all_want_nothing =
+      this->shortest_retry_after && this->retry_after_count == this->send_count;
+  return all_want_nothing ? *this->shortest_retry_after
+                          : Duration(kDefaultRetryAfter);
 }
 
 bool RequestHandler::RefuseWithoutTarget() {
@@ -172,15 +182,23 @@
 
 void RequestHandler::RecordNotice(const Attempt& attempt) {
   const TargetNotice& notice = attempt.meta.notice;
-  if (!notice.leaving || attempt.meta.is_other_target) {
+  if (notice.IsEmpty() || attempt.meta.is_other_target) {
     return;
   }
-  LogInfo("target_notice", {{"request", this->meta.id},
-                            {"target", attempt.target.target.value},
-                            {"started", attempt.target.started_ms},
-                            {"leaving", notice.leaving ? 1 : 0}});
+  LogInfo("target_notice",
+          {{"request", this->meta.id},
+           {"target", attempt.target.target.value},
+           {"started", attempt.target.started_ms},
+           {"leaving", notice.leaving ? 1 : 0},
+           {"retry_after_ms", notice.retry_after.value_or(Duration(0))}});
   this->deps.targets.OnNotice(attempt.target.target, attempt.target.started_ms,
                               notice);
+  if (notice.retry_after) {
+    ++this->retry_after_count;
+    this->shortest_retry_after =
+        std::min(this->shortest_retry_after.value_or(*notice.retry_after),
+                 *notice.retry_after);
+  }
 }
 
 void RequestHandler::LogRateLimit(const Attempt& attempt) const {
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -49,6 +49,7 @@
     known.prefixes = PrefixCacheEstimate(this->options.prefixes);
     known.planner_inventory_at.reset();
     known.responded_at.reset();
+    known.wants_nothing_until = {};
     known.latency_factor = 1;
   }
   Inventory inventory = std::move(known.description.inventory);
@@ -126,6 +127,17 @@
   }
   TargetDescription& description = found->second.description;
   description.draining = description.draining || notice.leaving;
+  if (notice.retry_after) {
+    found->second.wants_nothing_until =
+        std::max(found->second.wants_nothing_until,
+                 this->clock.Now() + *notice.retry_after);
+  }
+}
+
+bool TargetSelector::WantsNothing(const TargetId& target) const {
+  const auto found = this->targets.find(target);
+  return found != this->targets.end() &&
+         this->clock.Now() < found->second.wants_nothing_until;
 }
 
 void TargetSelector::OnReplaced(const TargetId& target) {
@@ -343,8 +355,11 @@
   for (const KnownTarget* target : candidates) {
     CostEstimate estimate = this->EstimateCost(*target, query, homes, now);
     const std::optional<double> limit = FindLimit(*target, query);
-    if (limit && now < target->permit_denied_until) {
-      const Duration wait = target->permit_denied_until - now;
+    const TimePoint available_at = limit ? std::max(target->permit_denied_until,
+                                                    target->wants_nothing_until)
+                                         : target->wants_nothing_until;
+    if (now < available_at) {
+      const Duration wait = available_at - now;
       limited = {limited ? std::min(limited->retry_after, wait) : wait, {}};
       continue;
     }
--- a/test/gateway/order_dispatcher_test.cc
+++ b/test/gateway/order_dispatcher_test.cc
@@ -53,6 +53,11 @@
                                            : old->second;
   }
 
+  std::vector<TargetNoticeReport> TakeNotices() override {
+    return std::exchange(this->notices, {});
+  }
+
+  std::vector<TargetNoticeReport> notices;
   std::map<TargetId, TargetState> states;
   std::map<TargetId, TargetState> stale_states;
   /// Targets at whose address another target answers.
@@ -236,5 +241,27 @@
   BOOST_TEST(fixture.control.orders.size() == 1U);
 }
 
+// Neither reads of its state nor orders may reach such a target.
+BOOST_AUTO_TEST_CASE(AsksATargetThatWantsNothing) {
+  Fixture& fixture = Fixture::Create();
+  fixture.Start();
+  BOOST_TEST(Eventually([&] { return fixture.control.state_reads > 0; }));
+  fixture.targets.OnNotice(TargetId("t"), 1,
+                           {.retry_after = std::chrono::seconds(3)});
+  boost::this_fiber::sleep_for(milliseconds(20));
+  const std::size_t reads = fixture.control.state_reads;
+  const std::size_t orders = fixture.control.orders.size();
+  for (int i = 0; i < 20; ++i) {
+    fixture.dispatcher->OnWanted(Fixture::Adapter("a1"));
+    boost::this_fiber::sleep_for(milliseconds(100));
+  }
+  BOOST_TEST(fixture.control.state_reads == reads);
+  BOOST_TEST(fixture.control.orders.size() == orders);
+  BOOST_TEST(Eventually([&] {
+    fixture.dispatcher->OnWanted(Fixture::Adapter("a1"));
+    return fixture.HasAdapter("a1");
+  }));
+}
+
 }  // namespace
 }  // namespace pimentospar
--- a/test/gateway/platform_test.cc
+++ b/test/gateway/platform_test.cc
@@ -164,6 +164,22 @@
   BOOST_TEST(!this->control.FetchState(this->Target()));
 }
 
+BOOST_AUTO_TEST_CASE(ReadsHowLongATargetWantsNothing) {
+  const auto retry_after = [](unsigned status, std::string_view value) {
+    HttpFields fields;
+    fields.set("Retry-After", {value.data(), value.size()});
+    return PlatformHeaders()
+        .ParseResponse(status, fields, TargetId("i-1"))
+        .notice.retry_after;
+  };
+  BOOST_TEST((retry_after(503, "2.5") == std::chrono::milliseconds(2500)));
+  BOOST_TEST((retry_after(503, "1e300") > std::chrono::hours(1)));
+  BOOST_TEST(!retry_after(500, "2"));
+  for (const std::string_view odd : {"", "0", "-1", "nan", "soon"}) {
+    BOOST_TEST(!retry_after(503, odd), odd);
+  }
+}
+
 // A report is the only response of a target that gets no requests.
 BOOST_FIXTURE_TEST_CASE(LeavingTargetIsMissedInAReportOrAnOrder, Fixture) {
   this->response =
--- a/test/gateway/target_notice_test.cc
+++ b/test/gateway/target_notice_test.cc
@@ -137,5 +137,48 @@
   BOOST_TEST(leaving.Requests().size() == 1U);
 }
 
+std::string Refusal(std::string_view retry_after) {
+  return "X-Pimentospar-Not-Run: 1\r\nRetry-After: " +
+         std::string(retry_after) + "\r\n";
+}
+
+BOOST_FIXTURE_TEST_CASE(TargetGetsRequestsBeforeItsRetryAfter, NoticeFixture) {
+  ScriptedTarget busy(Always("503 Service Unavailable", Refusal("0.8"), ""));
+  this->AddTarget("t1", busy);
+  (void)this->AddSoundTarget("t2");
+  this->SendMany("POST /unsafe/1", busy);
+  BOOST_TEST(busy.Requests().size() == 1U);
+  boost::this_fiber::sleep_for(std::chrono::milliseconds(1000));
+  this->SendMany("POST /unsafe/1", busy);
+  BOOST_TEST(busy.Requests().size() > 1U);
+}
+
+// An error that says nothing of whether the request ran counts too.
+BOOST_FIXTURE_TEST_CASE(TargetGetsRetriesBeforeItsRetryAfter, NoticeFixture) {
+  ScriptedTarget busy(
+      Always("503 Service Unavailable", "Retry-After: 20\r\n", "busy"));
+  this->AddTarget("t1", busy);
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    (void)this->Send("GET /safe/1");
+  }
+  BOOST_TEST(busy.Requests().size() == 1U);
+}
+
+// What no target can take for some time is refused at once, with that time.
+BOOST_FIXTURE_TEST_CASE(CallerWaitsForTargetsThatWantNothing, NoticeFixture) {
+  ScriptedTarget busy(Always("503 Service Unavailable", Refusal("20"), ""));
+  this->AddTarget("t1", busy);
+  const TimePoint start = this->clock.Now();
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    const std::string response = this->Send("POST /unsafe/1");
+    BOOST_TEST(response.starts_with("HTTP/1.1 503"), response);
+    BOOST_TEST((Contains(response, "Retry-After: 19.") ||
+                Contains(response, "Retry-After: 20.")),
+               response);
+  }
+  BOOST_TEST((this->clock.Now() - start < std::chrono::seconds(2)));
+  BOOST_TEST(busy.Requests().size() == 1U);
+}
+
 }  // namespace
 }  // namespace pimentospar
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -61,6 +61,27 @@
   }
 };
 
+// Requests, retries and trials of an unhealthy target stay away alike.
+BOOST_FIXTURE_TEST_CASE(SelectsATargetThatWantsNothing, Fixture) {
+  this->selector.OnTarget(Target("t"));
+  this->selector.OnNotice(TargetId("t"), 1, {.retry_after = seconds(5)});
+  this->selector.OnNotice(TargetId("t"), 1, {.retry_after = seconds(1)});
+  this->clock.Advance(seconds(4));
+  BOOST_TEST(this->selector.WantsNothing(TargetId("t")));
+  const TargetSelection selection = this->selector.Select(this->Query());
+  const auto* limited = std::get_if<AllTargetsLimited>(&selection);
+  BOOST_REQUIRE(limited != nullptr);
+  BOOST_TEST((limited->retry_after == seconds(1)));
+  this->clock.Advance(seconds(1));
+  BOOST_TEST(this->SelectedName(this->Query()) == "t");
+  // Its successor has not asked for anything.
+  this->selector.OnNotice(TargetId("t"), 1, {.retry_after = seconds(5)});
+  TargetDescription successor = Target("t");
+  successor.inventory.started_ms = 2;
+  this->selector.OnTarget(successor);
+  BOOST_TEST(this->SelectedName(this->Query()) == "t");
+}
+
 // The registration may say for seconds that a leaving target is ready; its
 // successor speaks for itself.
 BOOST_FIXTURE_TEST_CASE(SuccessorIsHeldToTheWordOfALeavingTarget, Fixture) {
