--- a/test/gateway/platform_test.cc
+++ b/test/gateway/platform_test.cc
@@ -164,6 +164,18 @@
   BOOST_TEST(!this->control.FetchState(this->Target()));
 }
 
+// Another writer left a key that is not UTF-8.
+BOOST_FIXTURE_TEST_CASE(OneOddKeyHidesAllOthers, Fixture) {
+  this->response = MakeResponse(
+      200,
+      "{\"items\":[{\"key\":\"\xff\",\"value\":\"eA==\",\"offset\":1},"
+      "{\"key\":\"k\",\"value\":\"eA==\",\"offset\":2}],"
+      "\"more\":false,\"end\":3}");
+  const KeyedPage page = this->store.ReadLatestValues("keyed.x", "");
+  BOOST_TEST((page.status == LogStatus::kDone));
+  BOOST_TEST(page.items.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ReadsHowLongATargetWantsNothing) {
   const auto retry_after = [](unsigned status, std::string_view value) {
     HttpFields fields;
