Repeat a refused request on a new connection to the same target

Cause: report of other operators: a faulty target wrote an earlier refusal once more on a kept connection. Here a request that a target refuses for a missing copy is sent to it again, with the same ID, and a copy of the first refusal on the connection of the second attempt was taken for its response while the request ran; it ran twice, or its caller was told that it had not run (TWICE, REFUSED). Change: after a refusal, the request goes to that target over a new connection only. Refusals with another ID, and those without one on a kept connection, were passed over before. Result: TakesAnEarlierRefusalOnAKeptConnection failed (two runs) and passes; request_handler_test passes.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -260,7 +260,12 @@
 
 bool RequestHandler::Connect(Attempt& attempt) {
   const std::string& address = attempt.target.address;
-  auto connection = this->deps.pool.TakeIdle(address);
+  // A copy of an earlier refusal of this request may still arrive on a
+  // connection that was in use then.
+  const bool was_refused =
+      std::ranges::find(this->refused_by, attempt.target.target) !=
+      this->refused_by.end();
+  auto connection = was_refused ? nullptr : this->deps.pool.TakeIdle(address);
   if (connection == nullptr) {
     connection = this->deps.pool.Connect(address);
   }
@@ -490,6 +495,9 @@
       attempt_status == AttemptStatus::kErrorResponse) {
     this->tried_targets.push_back(attempt.target.target);
   }
+  if (attempt_status == AttemptStatus::kNotRun) {
+    this->refused_by.push_back(attempt.target.target);
+  }
   this->deps.targets.OnEnd(attempt.id,
                            ToAttemptOutcome(attempt_status, attempt.reason));
   if (attempt_status != AttemptStatus::kDelivered) {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -197,6 +197,8 @@
   TimePoint last_sent_at{};
   std::uint32_t run_count = 0;
   UpstreamExchange* current_exchange = nullptr;
+  /// Targets that refused an attempt of this request.
+  std::vector<TargetId> refused_by;
   bool retry_reserved = false;
   /// How the request may run, as of the last check.
   QuarantineDecision admission = RunNormally{};
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -2,6 +2,8 @@
 #include "gateway/request_handler.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
+#include <utility>
 
 #include "request_handler_fixture.h"
 
@@ -180,6 +182,48 @@
   BOOST_TEST(runs == 1U);
 }
 
+// A target wrote the refusal of the first attempt once more on a connection
+// that was kept since before, where the second attempt runs.
+BOOST_FIXTURE_TEST_CASE(TakesAnEarlierRefusalOnAKeptConnection, Fixture) {
+  std::size_t runs = 0;
+  bool has_refused = false;
+  std::set<const RawConnection*> used;
+  const auto misdirected = [](const std::string& request) {
+    return Response(RequestIdOf(request), "", "", "421 Misdirected Request");
+  };
+  ScriptedTarget target(
+      [&](RawConnection& connection, const std::string& request) {
+        const bool is_kept = !used.insert(&connection).second;
+        if (Contains(request, "/safe/")) {
+          // Both calls are in flight together, so that two connections are
+          // kept.
+          boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+          return Echo(connection, request);
+        }
+        if (!std::exchange(has_refused, true)) {
+          connection.Write(misdirected(request));
+          return true;
+        }
+        ++runs;
+        if (is_kept) {
+          connection.Write(misdirected(request));
+        }
+        return Echo(connection, request);
+      });
+  this->AddTarget("t", target);
+  std::size_t finished = 0;
+  for (int i = 0; i < 2; ++i) {
+    Loop().Spawn([&] {
+      (void)this->Send("GET /safe/1");
+      ++finished;
+    });
+  }
+  BOOST_TEST(Eventually([&] { return finished == 2; }));
+  const std::string response = this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(response.ends_with("\r\n\r\nbody"), response);
+  BOOST_TEST(runs == 1U);
+}
+
 // Responses without an end: nothing may be kept or read without a limit.
 class EndlessResponse : public Fixture {
  public:
