Continue a stream only with an event stream

Cause: report of other operators: a stream had begun and broke off, and the next target answered with an error. Change: once a stream has begun, a success goes on with it only if it is an event stream.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -40,6 +40,7 @@
 constexpr std::uint32_t kTypicalOutputTokens = 200;
 constexpr std::chrono::microseconds kPromptTokenWork{26};
 constexpr unsigned kMisdirectedRequest = 421;
+constexpr std::string_view kEventStreamType = "text/event-stream";
 
 // Returns what a load would have to bring so that a target could take the
 // request; nothing if no load helps.
@@ -418,13 +419,23 @@
     return AttemptStatus::kNotRun;
   }
   ++this->run_count;
-  if (IsSuccess(status) && !attempt.meta.is_signed) {
+  if (IsSuccess(status) && !this->IsUsableSuccess(attempt)) {
     attempt.reason = Reason::kTargetError;
     return AttemptStatus::kUnknown;
   }
   return this->ForwardResponse(attempt);
 }
 
+bool RequestHandler::IsUsableSuccess(const Attempt& attempt) const {
+  if (!attempt.meta.is_signed || !this->forwarder.HasStarted()) {
+    return attempt.meta.is_signed;
+  }
+  const std::string_view type =
+      attempt.exchange->GetHead()[http::field::content_type];
+  return boost::beast::iequals(type.substr(0, kEventStreamType.size()),
+                               kEventStreamType);
+}
+
 RequestHandler::AttemptStatus RequestHandler::ForwardResponse(
     Attempt& attempt) {
   const bool is_success = IsSuccess(attempt.exchange->GetHead().result_int());
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -123,6 +123,9 @@
   [[nodiscard]] AttemptStatus SendAndReceive(Attempt& attempt);
   [[nodiscard]] bool ReadMatchingHead(Attempt& attempt);
   [[nodiscard]] AttemptStatus HandleResponseHead(Attempt& attempt);
+  /// Returns whether a successful response is the target's and, if a stream has
+  /// begun, can go on with it.
+  [[nodiscard]] bool IsUsableSuccess(const Attempt& attempt) const;
   [[nodiscard]] AttemptStatus ForwardResponse(Attempt& attempt);
   /// Returns why an attempt ended without a complete response; `by_target`
   /// unless this entry ended it.
