--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -12,16 +12,6 @@
 
 namespace http = boost::beast::http;
 
-// A waiting request checks the targets at least this often; a change wakes it
-// earlier.
-constexpr std::chrono::milliseconds kTargetPollInterval{100};
-// An adapter is loaded within milliseconds of the order. A longer wait than
-// this means that no process is sending orders.
-constexpr std::chrono::milliseconds kMaxAdapterWait{1500};
-constexpr std::chrono::milliseconds kMaxModelWait{4000};
-// A request waits for the load of a copy at most for its own time limit divided
-// by this.
-constexpr int kLoadWaitDivisor = 2;
 // If no response begins within this time, or within a multiple of the expected
 // time if that is longer, a repeatable call or stream is retried at another
 // target, provided there is one.
@@ -31,27 +21,9 @@
 // A resumable stream continues at another target after this time without an
 // event.
 constexpr std::chrono::milliseconds kEventTimeout{1500};
-// An overload rarely ends sooner than this; a longer wait would only delay the
-// refusal.
-constexpr std::chrono::milliseconds kMaxOverloadWait{200};
-// Engine time per output token when the engine runs other requests at the same
-// time.
-constexpr std::chrono::microseconds kOutputTokenWork{300};
-constexpr std::uint32_t kTypicalOutputTokens = 200;
-constexpr std::chrono::microseconds kPromptTokenWork{26};
 constexpr unsigned kMisdirectedRequest = 421;
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
-// Returns what a load would have to bring so that a target could take the
-// request; nothing if no load helps.
-std::optional<CopyNotLoaded> MissingCopy(const TargetSelection& selection) {
-  if (const auto* limited = std::get_if<AllTargetsLimited>(&selection)) {
-    return limited->other_targets;
-  }
-  const auto* missing = std::get_if<CopyNotLoaded>(&selection);
-  return missing == nullptr ? std::nullopt : std::optional(*missing);
-}
-
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -155,110 +127,6 @@
   }
 }
 
-TargetQuery RequestHandler::BuildQuery() const {
-  TargetQuery query;
-  query.service = this->service;
-  const ServiceSpec* spec = this->table->FindService(this->service);
-  if (spec != nullptr && spec->engine) {
-    query.copy = this->meta.copy;
-  }
-  query.prompt_tokens = this->meta.prompt_tokens;
-  query.prefix = this->meta.prefix;
-  query.tried = this->tried_targets;
-  query.repeatable = this->route->IsRepeatable();
-  query.limits = &this->deps.rate_limits.Limits();
-  if (this->route->kind == RequestKind::kStream) {
-    const std::uint32_t expected =
-        this->deps.stream_lengths.ExpectedEvents(this->route->name);
-    query.expected_events =
-        expected - std::min(expected, this->forwarder.EventCount());
-    query.time_left = this->RemainingTime();
-  }
-  return query;
-}
-
-void RequestHandler::RecordCopyDemand(const TargetQuery& query) {
-  if (this->demand_recorded || query.copy.model.IsEmpty()) {
-    return;
-  }
-  this->demand_recorded = true;
-  const std::uint32_t output =
-      std::min(this->meta.max_tokens, kTypicalOutputTokens);
-  const std::uint32_t shared =
-      query.prefix.empty() ? 0 : query.prefix.back().tokens;
-  const std::uint32_t own =
-      query.prompt_tokens - std::min(shared, query.prompt_tokens);
-  const Duration work =
-      own * Duration(kPromptTokenWork) + output * Duration(kOutputTokenWork);
-  this->deps.copy_demand.OnRequest({this->service, {query.copy.model, {}}},
-                                   work);
-  if (!query.copy.adapter.IsEmpty()) {
-    this->deps.copy_demand.OnRequest({this->service, query.copy}, Duration(0));
-  }
-}
-
-std::optional<SelectedTarget> RequestHandler::SelectTarget() {
-  std::optional<CopyWait> wait;
-  while (!this->channel.IsDisconnected() &&
-         this->RemainingTime() > kMinAttemptTime && !this->IsQuarantined()) {
-    const TargetQuery query = this->BuildQuery();
-    this->RecordCopyDemand(query);
-    TargetSelection selection = this->deps.targets.Select(query);
-    if (auto* selected = std::get_if<SelectedTarget>(&selection)) {
-      if (!selected->rate_limit || this->AcquirePermit(*selected)) {
-        return std::move(*selected);
-      }
-      continue;
-    }
-    this->last_selection = selection;
-    if (std::holds_alternative<AllTargetsOverloaded>(selection)) {
-      if (!this->WaitForTargetChange(kMaxOverloadWait)) {
-        return std::nullopt;
-      }
-      continue;
-    }
-    const auto missing = MissingCopy(selection);
-    if (!missing || !this->WaitForCopy(missing->model_loaded, wait)) {
-      return std::nullopt;
-    }
-  }
-  return std::nullopt;
-}
-
-Duration RequestHandler::MaxLoadWait(bool model_loaded) const {
-  const Duration limit = model_loaded ? kMaxAdapterWait : kMaxModelWait;
-  return std::min(limit,
-                  (this->deadline - this->received_at) / kLoadWaitDivisor);
-}
-
-bool RequestHandler::WaitForCopy(bool model_loaded,
-                                 std::optional<CopyWait>& wait) {
-  const Duration max_wait = this->MaxLoadWait(model_loaded);
-  if (this->send_count >= kMaxSends ||
-      this->deps.clock.Now() >= this->received_at + max_wait) {
-    return false;
-  }
-  const ServiceCopy copy{
-      this->service,
-      model_loaded ? this->meta.copy : CopyRef{this->meta.copy.model, {}}};
-  if (!wait || wait->Copy() != copy) {
-    wait.emplace(this->deps.copy_demand, copy);
-  }
-  return this->WaitForTargetChange(max_wait);
-}
-
-// Waits for a change of the known targets. Returns false if the request was
-// received more than `max_wait` ago.
-bool RequestHandler::WaitForTargetChange(Duration max_wait) {
-  const Duration left = this->received_at + max_wait - this->deps.clock.Now();
-  if (left <= Duration(0)) {
-    return false;
-  }
-  (void)this->deps.targets_changed.WaitFor(
-      std::min<Duration>(left, kTargetPollInterval));
-  return true;
-}
-
 bool RequestHandler::Connect(Attempt& attempt) {
   const std::string& address = attempt.target.address;
   // A copy of an earlier refusal of this request may still arrive on a
