Learn of a lease from its renewals

Cause: the record of a lease expires on the log while its holder renews it. Change: a renewal names the holder and the duration; one of a newer lease than the known one makes that lease the current one. Renewals of earlier builds name neither and are read as before. Result: ProcessAcquiresALeaseWhoseRecordHasExpired failed (two holders) and passes; store_share_test and restored_log_test pass unchanged.

--- a/include/pimentospar/store_share.h
+++ b/include/pimentospar/store_share.h
@@ -31,10 +31,14 @@
   Duration duration{};
 };
 
-/// Record `renew` of stream `plan`.
+/// Record `renew` of stream `plan`. It names the holder, for readers that find
+/// the record of the lease expired.
 struct RenewRecord {
   PlanRecordId id;
   LogOffset lease;
+  InstanceId instance;
+  /// Duration of the lease; 0 if the writer did not name it.
+  Duration duration{0};
 };
 
 /// Record `grant` of stream `plan`: permits one load of one model at one
@@ -60,6 +64,8 @@
 struct AppendRenew {
   PlanRecordId id;
   LogOffset lease;
+  InstanceId instance;
+  Duration duration{0};
 };
 
 using LeaseAction = std::variant<AppendLease, AppendRenew>;
@@ -96,6 +102,8 @@
   /// Applies a `lease` record; returns false if it is void because it does not
   /// replace the newest lease.
   bool OnLease(const LeaseRecord& record);
+  /// Applies a `renew` record. One of a newer lease than the known one shows
+  /// that this process has missed the record of that lease.
   void OnRenew(const RenewRecord& record);
   /// Called when the holder of this lease reports that it holds it. Counts as a
   /// renewal if the lease is the current one.
@@ -145,6 +153,7 @@
     TimePoint sent_at;
   };
 
+  void AdoptMissedLease(const RenewRecord& record);
   std::optional<TimePoint> RemovePending(const PlanRecordId& id);
   PlanRecordId AddPending();
   [[nodiscard]] bool IsAppendPending() const;
--- a/src/gateway/lease_manager.cc
+++ b/src/gateway/lease_manager.cc
@@ -29,15 +29,17 @@
   return {era == nullptr ? 0 : era->to_number<std::uint64_t>()};
 }
 
+std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 struct RecordEncoder {
   json::object operator()(const AppendLease& lease) const {
-    json::object record{
-        {"type", "lease"},
-        {"id", lease.id.value},
-        {"instance", lease.instance.value},
-        {"duration_ms",
-         std::chrono::duration_cast<std::chrono::milliseconds>(lease.duration)
-             .count()}};
+    json::object record{{"type", "lease"},
+                        {"id", lease.id.value},
+                        {"instance", lease.instance.value},
+                        {"duration_ms", ToMilliseconds(lease.duration)}};
     if (lease.previous) {
       record["previous"] = lease.previous->value;
     }
@@ -46,7 +48,9 @@
   json::object operator()(const AppendRenew& renew) const {
     return {{"type", "renew"},
             {"id", renew.id.value},
-            {"lease", renew.lease.value}};
+            {"lease", renew.lease.value},
+            {"instance", renew.instance.value},
+            {"duration_ms", ToMilliseconds(renew.duration)}};
   }
 };
 
@@ -63,6 +67,19 @@
   return lease;
 }
 
+// Renewals of earlier builds name neither the holder nor the duration.
+RenewRecord ParseRenew(const json::object& record) {
+  RenewRecord renew;
+  renew.id = PlanRecordId(json::value_to<std::string>(record.at("id")));
+  renew.lease = LogOffset{record.at("lease").to_number<std::uint64_t>()};
+  if (const json::value* instance = record.if_contains("instance")) {
+    renew.instance = InstanceId{instance->to_number<std::uint64_t>()};
+    renew.duration = std::chrono::milliseconds(
+        record.at("duration_ms").to_number<std::int64_t>());
+  }
+  return renew;
+}
+
 }  // namespace
 
 LeaseManager::LeaseManager(FiberLoop& loop,
@@ -236,9 +253,7 @@
       (void)this->lease.OnLease(lease);
       this->OnHolderRecord(*record, lease.instance);
     } else if (record->at("type") == "renew") {
-      this->lease.OnRenew(
-          {PlanRecordId(json::value_to<std::string>(record->at("id"))),
-           LogOffset{record->at("lease").to_number<std::uint64_t>()}});
+      this->lease.OnRenew(ParseRenew(*record));
       if (this->current_holder && this->holder_is_predecessor) {
         this->lease.OnHolderExited(*this->current_holder);
       }
--- a/src/store_share.cc
+++ b/src/store_share.cc
@@ -52,6 +52,7 @@
 
 void PlannerLease::OnRenew(const RenewRecord& record) {
   const auto sent_at = this->RemovePending(record.id);
+  this->AdoptMissedLease(record);
   if (!this->IsCurrent(record.lease)) {
     return;
   }
@@ -63,6 +64,17 @@
   }
 }
 
+void PlannerLease::AdoptMissedLease(const RenewRecord& record) {
+  const bool is_newer = !this->current || record.lease > this->current->offset;
+  if (!is_newer || record.duration <= Duration(0)) {
+    return;
+  }
+  this->current = LeaseRecord{
+      record.lease, {}, record.instance, std::nullopt, record.duration};
+  this->held_until.reset();
+  this->replacement_requested = false;
+}
+
 void PlannerLease::OnHolderHeartbeat(LogOffset lease) {
   if (this->IsCurrent(lease)) {
     this->renewed_at = this->clock.Now();
@@ -190,7 +202,8 @@
   if (this->clock.Now() < this->last_sent + this->options.renew_interval) {
     return std::nullopt;
   }
-  return AppendRenew{this->AddPending(), lease};
+  return AppendRenew{this->AddPending(), lease, this->self,
+                     this->current->duration};
 }
 
 std::optional<LeaseAction> PlannerLease::StepCandidate() {
--- a/test/gateway/lease_manager_test.cc
+++ b/test/gateway/lease_manager_test.cc
@@ -192,6 +192,24 @@
   BOOST_TEST(!weak.Held().has_value());
 }
 
+// The record of the lease has expired on the log, and only renewals are left. A
+// process that read none of the former acquired a second lease.
+BOOST_AUTO_TEST_CASE(ProcessAcquiresALeaseWhoseRecordHasExpired) {
+  Fixture& fixture = Fixture::Create();
+  const LeaseManager& holder = fixture.Start(1, "h1");
+  BOOST_TEST(Eventually([&] { return holder.Held().has_value(); }));
+  const auto lease = holder.Held();
+  const auto& records = fixture.log.streams["plan"];
+  BOOST_TEST(Eventually([&] { return records.size() > 3; }));
+  fixture.log.first["plan"] = {records.size() - 1};
+  (void)fixture.Start(2, "h2");
+  for (int i = 0; i < 300; ++i) {
+    BOOST_REQUIRE_LE(fixture.HolderCount(), 1U);
+    boost::this_fiber::sleep_for(milliseconds(2));
+  }
+  BOOST_TEST((holder.Held() == lease));
+}
+
 // The log was unavailable for longer than the lease lasts, and no other process
 // acquired the lease. A renewal whose append answer was lost is read only after
 // the outage and must not delay the new lease.
