Refuse at once while the only targets with a copy are in backoff

Cause: a request whose copy was only at targets that asked to get nothing waited up to 4 s for a load elsewhere, which nobody orders. Two names needed explaining. Change: the wait remains for targets with a rate limit, whose copies are loaded elsewhere. WantsNothing is IsInBackoff, IsFromThePast is IsOutdatedRegistration.

--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -211,7 +211,7 @@
                 const TargetNotice& notice);
   /// Returns whether the target has asked to get nothing for some time that is
   /// not over yet.
-  [[nodiscard]] bool WantsNothing(const TargetId& target) const;
+  [[nodiscard]] bool IsInBackoff(const TargetId& target) const;
   /// Another target responds at this target's address.
   void OnReplaced(const TargetId& target);
   /// The target has a limit and takes no request before `until`.
@@ -272,7 +272,7 @@
     double others_waiting = 0;
     TimePoint load_reported_at;
     TimePoint permit_denied_until;
-    TimePoint wants_nothing_until;
+    TimePoint backoff_until;
     std::optional<TimePoint> responded_at;
     /// Moving average of the ratio of actual to expected time to first byte.
     double latency_factor = 1;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -318,7 +318,7 @@
   std::set<std::string> listed;
   for (const KeyedItem& item : all.items) {
     listed.insert(item.key);
-    if (all.after_restore && this->IsFromThePast(item)) {
+    if (all.after_restore && this->IsOutdatedRegistration(item)) {
       LogInfo("registration_outdated",
               {{"target", item.key}, {"offset", item.offset.value}});
       continue;
@@ -332,7 +332,7 @@
   }
 }
 
-bool Gateway::IsFromThePast(const KeyedItem& item) const {
+bool Gateway::IsOutdatedRegistration(const KeyedItem& item) const {
   const TargetId id(item.key);
   const auto listed =
       this->platform.registry.DecodeTarget(id, item.value.value_or(""));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -111,7 +111,7 @@
   void OnTargetRemoved(const TargetId& target);
   /// Returns whether a registration in a restored log is older than what is
   /// known of the target: it was removed since, or has started again.
-  [[nodiscard]] bool IsFromThePast(const KeyedItem& item) const;
+  [[nodiscard]] bool IsOutdatedRegistration(const KeyedItem& item) const;
   void OnEntries(const KeyedSnapshot& all);
   void OnEntry(const KeyedItem& item);
   [[nodiscard]] PollTiming EntryPollTiming() const;
--- a/src/gateway/order_dispatcher.cc
+++ b/src/gateway/order_dispatcher.cc
@@ -223,7 +223,7 @@
   }
   const auto held = this->lease.Held();
   const TargetDescription* found = this->targets.Find(order.target);
-  if (!held || found == nullptr || this->targets.WantsNothing(order.target)) {
+  if (!held || found == nullptr || this->targets.IsInBackoff(order.target)) {
     return PlannedOrderOutcome::kRefused;
   }
   const TargetDescription target = *found;
@@ -336,7 +336,7 @@
 
 std::optional<TargetState> OrderDispatcher::FetchState(
     const TargetDescription& target) {
-  if (this->targets.WantsNothing(target.id)) {
+  if (this->targets.IsInBackoff(target.id)) {
     return std::nullopt;
   }
   auto state = this->control.FetchState(target);
--- a/src/gateway/request_handler_permit.cc
+++ b/src/gateway/request_handler_permit.cc
@@ -35,7 +35,7 @@
   // The target may have changed, or the request been refused, in the meantime.
   const TargetDescription* target = this->deps.targets.Find(selected.target);
   return target != nullptr && !target->draining &&
-         !this->deps.targets.WantsNothing(selected.target) &&
+         !this->deps.targets.IsInBackoff(selected.target) &&
          target->inventory.started_ms == selected.started_ms &&
          this->RemainingTime() > kMinAttemptTime && !this->IsQuarantined();
 }
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -49,7 +49,7 @@
     known.prefixes = PrefixCacheEstimate(this->options.prefixes);
     known.planner_inventory_at.reset();
     known.responded_at.reset();
-    known.wants_nothing_until = {};
+    known.backoff_until = {};
     known.latency_factor = 1;
   }
   Inventory inventory = std::move(known.description.inventory);
@@ -128,16 +128,15 @@
   TargetDescription& description = found->second.description;
   description.draining = description.draining || notice.leaving;
   if (notice.retry_after) {
-    found->second.wants_nothing_until =
-        std::max(found->second.wants_nothing_until,
-                 this->clock.Now() + *notice.retry_after);
+    found->second.backoff_until = std::max(
+        found->second.backoff_until, this->clock.Now() + *notice.retry_after);
   }
 }
 
-bool TargetSelector::WantsNothing(const TargetId& target) const {
+bool TargetSelector::IsInBackoff(const TargetId& target) const {
   const auto found = this->targets.find(target);
   return found != this->targets.end() &&
-         this->clock.Now() < found->second.wants_nothing_until;
+         this->clock.Now() < found->second.backoff_until;
 }
 
 void TargetSelector::OnReplaced(const TargetId& target) {
@@ -352,13 +351,15 @@
   std::optional<double> best_limit;
   std::optional<AllTargetsOverloaded> overloaded;
   std::optional<AllTargetsLimited> limited;
+  bool has_rate_limit = false;
   for (const KnownTarget* target : candidates) {
     CostEstimate estimate = this->EstimateCost(*target, query, homes, now);
     const std::optional<double> limit = FindLimit(*target, query);
-    const TimePoint available_at = limit ? std::max(target->permit_denied_until,
-                                                    target->wants_nothing_until)
-                                         : target->wants_nothing_until;
+    const TimePoint available_at =
+        limit ? std::max(target->permit_denied_until, target->backoff_until)
+              : target->backoff_until;
     if (now < available_at) {
+      has_rate_limit = has_rate_limit || limit.has_value();
       const Duration wait = available_at - now;
       limited = {limited ? std::min(limited->retry_after, wait) : wait, {}};
       continue;
@@ -392,7 +393,10 @@
     return *overloaded;
   }
   if (best == nullptr && limited) {
-    limited->other_targets = this->MissingWithoutLimit(query, now);
+    // Copies are loaded elsewhere only for targets with a rate limit.
+    if (has_rate_limit) {
+      limited->other_targets = this->MissingWithoutLimit(query, now);
+    }
     return *limited;
   }
   if (best == nullptr) {
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -64,14 +64,19 @@
 // Requests, retries and trials of an unhealthy target stay away alike.
 BOOST_FIXTURE_TEST_CASE(SelectsATargetThatWantsNothing, Fixture) {
   this->selector.OnTarget(Target("t"));
+  // A target without the copy, which nobody loads there in the meantime.
+  TargetDescription other = Target("other");
+  other.inventory.models.clear();
+  this->selector.OnTarget(other);
   this->selector.OnNotice(TargetId("t"), 1, {.retry_after = seconds(5)});
   this->selector.OnNotice(TargetId("t"), 1, {.retry_after = seconds(1)});
   this->clock.Advance(seconds(4));
-  BOOST_TEST(this->selector.WantsNothing(TargetId("t")));
+  BOOST_TEST(this->selector.IsInBackoff(TargetId("t")));
   const TargetSelection selection = this->selector.Select(this->Query());
   const auto* limited = std::get_if<AllTargetsLimited>(&selection);
   BOOST_REQUIRE(limited != nullptr);
   BOOST_TEST((limited->retry_after == seconds(1)));
+  BOOST_TEST(!limited->other_targets.has_value());
   this->clock.Advance(seconds(1));
   BOOST_TEST(this->SelectedName(this->Query()) == "t");
   // Its successor has not asked for anything.
