Let what has arrived run before late timers

Its fibers were busy for longer than its time limits, and a late timer ran before the fiber whose connection had been accepted or whose response had arrived in time: the connection was dropped, and with it the next one, so that the entry could not read the log while it was overloaded. Change: timers that are more than 20 ms late run after the fibers that have been woken by then.

--- a/src/gateway/timer_queue.cc
+++ b/src/gateway/timer_queue.cc
@@ -1,7 +1,15 @@
 #include "gateway/timer_queue.h"
 
+#include <boost/fiber/operations.hpp>
+
 namespace pimentospar {
 
+namespace {
+
+constexpr std::chrono::milliseconds kOverloadLateness{20};
+
+}  // namespace
+
 TimerQueue::Queue::iterator TimerQueue::Schedule(
     Duration delay,
     std::function<void()> callback) {
@@ -23,8 +31,25 @@
   });
 }
 
+// A timer that runs late most likely does so since the fibers have been busy.
+// Data that a timer waits for may have arrived in the meantime, so the fibers
+// that it wakes run first.
 void TimerQueue::OnTimer() {
+  const Duration lateness = this->clock.Now() - this->armed_for;
   this->armed_for = TimePoint::max();
+  if (lateness < kOverloadLateness) {
+    this->RunExpired();
+    return;
+  }
+  this->loop.Spawn([this, alive = std::weak_ptr(this->lifetime)] {
+    boost::this_fiber::yield();
+    if (!alive.expired()) {
+      this->RunExpired();
+    }
+  });
+}
+
+void TimerQueue::RunExpired() {
   const TimePoint now = this->clock.Now();
   while (!this->queue.empty() && this->queue.begin()->first <= now) {
     // The timer leaves the queue before its callback runs. The callback marks
--- a/src/gateway/timer_queue.h
+++ b/src/gateway/timer_queue.h
@@ -12,11 +12,12 @@
 
 /// Runs callbacks at given times and uses one system timer for all of them.
 /// Most timers are cancelled before they expire, and arming a system timer
-/// costs a system call.
+/// costs a system call. While the process is overloaded, what has already
+/// arrived is handled before the timers that wait for it expire.
 class TimerQueue {
  public:
   TimerQueue(FiberLoop& loop, const Clock& clock)
-      : clock(clock), timer(loop.Context()) {}
+      : loop(loop), clock(clock), timer(loop.Context()) {}
 
  private:
   friend class ScopedTimer;
@@ -25,7 +26,9 @@
   Queue::iterator Schedule(Duration delay, std::function<void()> callback);
   void Arm(TimePoint time);
   void OnTimer();
+  void RunExpired();
 
+  FiberLoop& loop;
   const Clock& clock;
   boost::asio::basic_waitable_timer<
       std::chrono::steady_clock,
@@ -33,6 +36,8 @@
       Executor>
       timer;
   Queue queue;
+  /// Ends with the queue, which a fiber that runs its timers may outlive.
+  std::shared_ptr<const bool> lifetime = std::make_shared<const bool>(true);
   TimePoint armed_for = TimePoint::max();
 };
 
