Poll the loads of a large fleet in turns

Cause: the lease holder polled the loads of all engines every 0.8 s and sent each to all entries. At 3,000 targets and 299 entries it was at its limit (87 to 89 % of a core, 5.9 MB/s, 3,892 connections). Change: at most 200 loads in one interval; the engines of a larger fleet take turns. Fleets up to that size are polled as before. Result: LoadPollsGrowWithTheFleet failed without the change (501 reads where 425 are allowed) and passes.

--- a/src/gateway/order_dispatcher.cc
+++ b/src/gateway/order_dispatcher.cc
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds kStateLag{600};
 // The load of an engine changes with its response streams, which last seconds.
 constexpr std::chrono::milliseconds kLoadPollInterval{800};
+// Loads that are polled in one interval. In a larger fleet the engines take
+// turns, so that what the lease holder reads and sends on has a limit.
+constexpr std::size_t kMaxLoadPolls = 200;
 // Limits the cost of reading states: a target is read at most this often.
 constexpr std::chrono::milliseconds kMinRefreshInterval{300};
 // Time after an unanswered order until the target's state is read.
@@ -29,6 +32,22 @@
 // An order that takes longer counts as unknown and is left to the next plan.
 constexpr std::chrono::seconds kMaxOrderDuration{15};
 
+// Leaves at most `count` targets, those that follow `last` in the order of
+// their IDs, and sets `last` to the last one.
+void TakeTurn(std::vector<TargetDescription>& targets,
+              std::size_t count,
+              TargetId& last) {
+  if (targets.size() <= count) {
+    return;
+  }
+  std::ranges::sort(targets, {}, &TargetDescription::id);
+  const auto next =
+      std::ranges::upper_bound(targets, last, {}, &TargetDescription::id);
+  std::ranges::rotate(targets, next);
+  targets.resize(count);
+  last = targets.back().id;
+}
+
 }  // namespace
 
 std::string_view ToString(OrderAnswer answer) {
@@ -106,12 +125,15 @@
 }
 
 void OrderDispatcher::RunLoadPolls() {
+  TargetId last_polled;
   while (true) {
     boost::this_fiber::sleep_for(kLoadPollInterval);
     if (!this->active_lease || this->routes == nullptr) {
       continue;
     }
-    for (const TargetDescription& target : this->EnginesWithKnownState()) {
+    std::vector<TargetDescription> engines = this->EnginesWithKnownState();
+    TakeTurn(engines, kMaxLoadPolls, last_polled);
+    for (const TargetDescription& target : engines) {
       this->loop.Spawn([this, target] {
         if (const auto state = this->FetchState(target)) {
           this->targets.OnLoadReport(target.id, state->load);
--- a/test/gateway/order_dispatcher_test.cc
+++ b/test/gateway/order_dispatcher_test.cc
@@ -48,6 +48,7 @@
   std::optional<TargetState> FetchState(
       const TargetDescription& target) override {
     ++this->state_reads;
+    ++this->reads_of[target.id];
     const auto old = this->stale_states.find(target.id);
     return old == this->stale_states.end() ? this->states[target.id]
                                            : old->second;
@@ -66,6 +67,7 @@
   std::vector<FencingToken> fences;
   FencingToken newest_fence;
   std::size_t state_reads = 0;
+  std::map<TargetId, std::size_t> reads_of;
   bool lose_next_answer = false;
 };
 
@@ -263,5 +265,29 @@
   }));
 }
 
+// The lease holder polled the loads of all engines at the same rate, however
+// many there were, and sent each of them to all entries.
+BOOST_AUTO_TEST_CASE(LoadPollsGrowWithTheFleet) {
+  constexpr std::size_t kEngines = 500;
+  constexpr std::size_t kMaxPollsPerSecond = 250;
+  Fixture& fixture = Fixture::Create();
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    TargetDescription target = *fixture.targets.Find(TargetId("t"));
+    target.id = TargetId("e" + std::to_string(i));
+    fixture.targets.OnTarget(target);
+    fixture.control.states[target.id].inventory = target.inventory;
+  }
+  fixture.Start();
+  auto& reads_of = fixture.control.reads_of;
+  BOOST_TEST(Eventually([&] { return reads_of.size() == kEngines + 1; }));
+  reads_of.clear();
+  fixture.control.state_reads = 0;
+  const TimePoint start = fixture.clock.Now();
+  BOOST_TEST(Eventually([&] { return reads_of.size() == kEngines + 1; }));
+  const std::chrono::duration<double> elapsed = fixture.clock.Now() - start;
+  BOOST_TEST(static_cast<double>(fixture.control.state_reads) <=
+             kMaxPollsPerSecond * (elapsed.count() + 1));
+}
+
 }  // namespace
 }  // namespace pimentospar
