Leave the lease holder time beside its plans

Cause: the plans of a lease holder with 3,000 targets followed each other after 20 ms, however long each had taken, and its other duties waited. Change: the pause after a plan is at least twice the time that it took.

--- a/src/gateway/order_dispatcher.cc
+++ b/src/gateway/order_dispatcher.cc
@@ -13,6 +13,9 @@
 // Requests for a plan within this time are answered by one. In a large fleet
 // they arrive faster than plans are made.
 constexpr std::chrono::milliseconds kMinPlanInterval{20};
+// The pause after a plan, as a multiple of the time that the plan took. The
+// lease holder has other duties, such as to pass on configurations.
+constexpr int kPlanPauseFactor = 2;
 // Time from the acceptance of an order until the adapter is usable.
 constexpr std::chrono::milliseconds kAdapterLoadTime{12};
 constexpr std::chrono::milliseconds kStatePollInterval{250};
@@ -168,8 +171,11 @@
       this->batcher.Clear();
     }
     if (this->active_lease && this->routes != nullptr) {
+      const TimePoint started = this->clock.Now();
       this->Plan();
-      boost::this_fiber::sleep_for(kMinPlanInterval);
+      const Duration took = this->clock.Now() - started;
+      boost::this_fiber::sleep_for(
+          std::max<Duration>(kMinPlanInterval, kPlanPauseFactor * took));
     }
   }
 }
