--- a/src/gateway/order_dispatcher.cc
+++ b/src/gateway/order_dispatcher.cc
@@ -46,7 +46,7 @@
   std::ranges::sort(targets, {}, &TargetDescription::id);
   const auto next =
       std::ranges::upper_bound(targets, last, {}, &TargetDescription::id);
-  std::ranges::rotate(targets, next);
+  std::rotate(targets.begin(), next, targets.end());
   targets.resize(count);
   last = targets.back().id;
 }
