Name constants of two tests as the linter asks

Cause: two texts were no constant expressions but were named like constants; three parameters were copied. Change: string views and references; the checks are the same. Result: the linter passes both files; target_notice_test and repeated_request_test pass.

--- a/test/gateway/repeated_request_test.cc
+++ b/test/gateway/repeated_request_test.cc
@@ -21,15 +21,16 @@
 constexpr std::size_t kCrashesToRefuse = 3;
 constexpr std::size_t kMaxCrashes = 2 * kCrashesToRefuse;
 constexpr milliseconds kPause{500};
-const std::string kSharedParts = "first:6000,subject:300";
+constexpr std::string_view kSharedParts = "first:6000,subject:300";
 
 std::string SendAgain(FragileFleet& fleet, std::size_t entry) {
-  return fleet.SendStream(entry, "/chat/again",
-                          kSharedParts + "," + std::string(kDeadlyPart));
+  return fleet.SendStream(
+      entry, "/chat/again",
+      std::string(kSharedParts).append(",").append(kDeadlyPart));
 }
 
 void CheckThatSoundRequestsRun(FragileFleet& fleet, std::size_t entry) {
-  const std::string sound = fleet.Send(entry, kSharedParts);
+  const std::string sound = fleet.Send(entry, std::string(kSharedParts));
   BOOST_TEST(Contains(sound, "id: 2"), sound);
 }
 
--- a/test/gateway/target_notice_test.cc
+++ b/test/gateway/target_notice_test.cc
@@ -18,14 +18,14 @@
 using test::ScriptedTarget;
 
 constexpr std::size_t kRequests = 12;
-const std::string kLeaving = "Server-Leaving: 1\r\n";
+constexpr std::string_view kLeaving = "Server-Leaving: 1\r\n";
 
 class NoticeFixture : public test::HandlerFixture {
  public:
   // Writes the response of `head` and `body` to each request.
-  static ScriptedTarget::Script Always(std::string status,
-                                       std::string headers,
-                                       std::string body) {
+  static ScriptedTarget::Script Always(const std::string& status,
+                                       const std::string& headers,
+                                       const std::string& body) {
     return [=](RawConnection& connection, const std::string& request) {
       connection.Write(Response(RequestIdOf(request), body, headers, status));
       return true;
@@ -72,7 +72,7 @@
 
 BOOST_FIXTURE_TEST_CASE(TargetThatLeftInASuccessGetsRequests, NoticeFixture) {
   ScriptedTarget leaving(
-      Always("200 OK", std::string(kStamp) + kLeaving, "body"));
+      Always("200 OK", std::string(kStamp).append(kLeaving), "body"));
   this->AddTarget("t1", leaving);
   (void)this->AddSoundTarget("t2");
   this->SendMany("GET /safe/1", leaving);
@@ -82,7 +82,8 @@
 
 BOOST_FIXTURE_TEST_CASE(TargetThatLeftInAnErrorGetsRequests, NoticeFixture) {
   ScriptedTarget leaving(Always("500 Internal Server Error",
-                                std::string(kStamp) + kLeaving, "failed"));
+                                std::string(kStamp).append(kLeaving),
+                                "failed"));
   this->AddTarget("t1", leaving);
   (void)this->AddSoundTarget("t2");
   this->SendMany("GET /safe/1", leaving);
@@ -90,8 +91,9 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(TargetThatLeftInARefusalGetsRequests, NoticeFixture) {
-  ScriptedTarget leaving(Always("503 Service Unavailable",
-                                "X-Pimentospar-Not-Run: 1\r\n" + kLeaving, ""));
+  ScriptedTarget leaving(
+      Always("503 Service Unavailable",
+             std::string("X-Pimentospar-Not-Run: 1\r\n").append(kLeaving), ""));
   this->AddTarget("t1", leaving);
   (void)this->AddSoundTarget("t2");
   this->SendMany("POST /unsafe/1", leaving);
@@ -126,7 +128,7 @@
 BOOST_FIXTURE_TEST_CASE(RegistrationRevokesTheWordOfALeavingTarget,
                         NoticeFixture) {
   ScriptedTarget leaving(
-      Always("200 OK", std::string(kStamp) + kLeaving, "body"));
+      Always("200 OK", std::string(kStamp).append(kLeaving), "body"));
   this->AddTarget("t1", leaving);
   (void)this->AddSoundTarget("t2");
   this->SendMany("GET /safe/1", leaving);
