--- a/test/gateway/odd_registration_test.cc
+++ b/test/gateway/odd_registration_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fleet.h"
+#include "request_handler_fixture.h"
 
 // Registrations that another writer left among those of the targets.
 namespace pimentospar {
@@ -11,7 +12,6 @@
 using test::Eventually;
 using test::Fleet;
 using test::RawConnection;
-using test::RequestIdOf;
 using test::ScriptedTarget;
 
 constexpr std::string_view kConfig =
@@ -77,14 +77,7 @@
   }
 
   Fleet& fleet;
-  ScriptedTarget& target = *new ScriptedTarget([](RawConnection& connection,
-                                                  const std::string& request) {
-    connection.Write(
-        "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " + RequestIdOf(request) +
-        "\r\nX-Pimentospar-Response-Stamp: s\r\n"
-        "Content-Length: 2\r\n\r\nok");
-    return true;
-  });
+  ScriptedTarget& target = *new ScriptedTarget(test::Echo);
 };
 
 BOOST_AUTO_TEST_CASE(EntryStopsFollowingTargetsAtAnOddRegistration) {
--- a/test/gateway/restored_log_test.cc
+++ b/test/gateway/restored_log_test.cc
@@ -3,6 +3,7 @@
 
 #include "fragile_fleet.h"
 #include "gateway/lease_manager.h"
+#include "request_handler_fixture.h"
 
 // A log that is restored from an older copy of itself: what was written since
 // is gone, and its offsets are given out again.
@@ -18,7 +19,6 @@
 using test::Loop;
 using test::MemoryLog;
 using test::RawConnection;
-using test::RequestIdOf;
 using test::ScriptedTarget;
 
 // Longer than an entry takes to read a change of the targets.
@@ -27,14 +27,7 @@
 
 // A target that counts the requests that it runs.
 struct CountingTarget {
-  ScriptedTarget target{[](RawConnection& connection,
-                           const std::string& request) {
-    connection.Write(
-        "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " + RequestIdOf(request) +
-        "\r\nX-Pimentospar-Response-Stamp: s\r\n"
-        "Content-Length: 2\r\n\r\nok");
-    return true;
-  }};
+  ScriptedTarget target{test::Echo};
 
   [[nodiscard]] std::size_t RunCount() const {
     return this->target.Requests().size();
