Show that an endless chunk-size line ends the gateway

Cause: the limits on responses of targets count parsed bytes. The line with the size of a chunk, and trailer fields, stay in the connection's buffer until they are complete, however long they are.

--- /dev/null
+++ b/review/standin/runner.cc
@@ -0,0 +1,143 @@
+#include "runner.h"
+
+#include <sys/socket.h>
+
+#include <thread>
+
+namespace review {
+
+namespace {
+
+constexpr milliseconds kHeartbeat{1200};
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kMisdirected = 421;
+
+}  // namespace
+
+std::string AnswerHead(const Request& request,
+                       int status,
+                       const std::string& framing) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nX-Pimentospar-Request-Id: " +
+         request.fields.Get("X-Pimentospar-Request-Id") +
+         "\r\nX-Pimentospar-Response-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n" +
+         framing + "\r\n";
+}
+
+std::string Answer(const Request& request,
+                   int status,
+                   const std::string& body) {
+  return AnswerHead(request, status,
+                    "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+         body;
+}
+
+std::string Chunk(const std::string& data) {
+  constexpr std::string_view kHex = "0123456789abcdef";
+  std::string size;
+  for (std::size_t left = data.size(); left > 0 || size.empty(); left /= 16) {
+    size.insert(size.begin(), kHex[left % 16]);
+  }
+  return size + "\r\n" + data + "\r\n";
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: " + std::string(40, 'x') +
+         "\n\n";
+}
+
+Runner::Runner(Store& store,
+               Record& record,
+               RunnerOptions options,
+               Handler handler)
+    : store(store),
+      record(record),
+      options(std::move(options)),
+      handler(std::move(handler)),
+      address{this->options.ip, 0} {
+  const int listener = Listen(this->address);
+  std::thread([this, listener] { this->Accept(listener); }).detach();
+}
+
+void Runner::Accept(int listener) {
+  while (true) {
+    const int file = accept(listener, nullptr, nullptr);
+    std::thread([this, file] { this->Serve(file); }).detach();
+  }
+}
+
+void Runner::Start() {
+  this->beating = true;
+  this->Register("ready");
+  std::thread([this] {
+    while (true) {
+      std::this_thread::sleep_for(kHeartbeat);
+      if (!this->beating) {
+        return;
+      }
+      this->Register("ready");
+    }
+  }).detach();
+}
+
+void Runner::Register(const std::string& state) {
+  const std::string models = this->options.model.empty()
+                                 ? ""
+                                 : "{\"name\":\"" + this->options.model +
+                                       "\",\"version\":1,\"adapters\":[]}";
+  this->store.SetKey(
+      "keyed.servers", this->options.id,
+      "{\"service\":\"" + this->options.service + "\",\"addr\":\"" +
+          this->address.Text() + "\",\"zone\":\"" + this->options.zone +
+          "\",\"version\":\"v1\",\"slots\":" +
+          std::to_string(this->options.slots) + ",\"state\":\"" + state +
+          "\",\"cold_left_ms\":0,\"born\":" + std::to_string(this->born) +
+          ",\"models\":[" + models + "],\"seq\":1}");
+}
+
+void Runner::Unregister() {
+  this->beating = false;
+  this->store.SetKey("keyed.servers", this->options.id, "");
+}
+
+std::string Runner::Report() const {
+  const std::string models = this->options.model.empty()
+                                 ? ""
+                                 : "{\"name\":\"" + this->options.model +
+                                       "\",\"version\":1,\"adapters\":[]}";
+  return "{\"stage\":\"both\",\"models\":[" + models +
+         "],\"busy\":false,\"seq\":0,\"waiting\":0,\"running\":0,"
+         "\"kv_used\":0,\"kv_total\":232000,\"handles\":0,\"born\":" +
+         std::to_string(this->born) + "}";
+}
+
+void Runner::Serve(int file) {
+  Connection connection(file);
+  while (const auto request = connection.ReadRequest()) {
+    const std::string expected =
+        request->fields.Get("X-Pimentospar-Expect-Instance");
+    if (!expected.empty() && expected != this->options.id) {
+      (void)connection.Write(
+          "HTTP/1.1 " + std::to_string(kMisdirected) +
+          " X\r\nX-Pimentospar-Instance: " + this->options.id +
+          "\r\nContent-Length: 0\r\n\r\n");
+      continue;
+    }
+    if (request->target == "/api/report") {
+      (void)connection.Write(Answer(*request, kOk, this->Report()));
+      continue;
+    }
+    if (request->target == "/api/order") {
+      (void)connection.Write(Answer(*request, kConflict, "{}"));
+      continue;
+    }
+    this->record.Line("run " + request->fields.Get("X-Pimentospar-Request-Id") +
+                      " at " + this->options.id);
+    if (!this->handler(*request, connection)) {
+      return;
+    }
+  }
+}
+
+}  // namespace review
--- /dev/null
+++ b/review/standin/runner.h
@@ -0,0 +1,76 @@
+#ifndef REVIEW_STANDIN_RUNNER_H_
+#define REVIEW_STANDIN_RUNNER_H_
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+
+#include "net.h"
+#include "store.h"
+
+namespace review {
+
+/// Settings of a runner.
+struct RunnerOptions {
+  std::string id;
+  std::string ip;
+  std::string service;
+  std::string zone = "z-a";
+  int slots = 64;
+  /// The model that it holds; empty for a service without an engine.
+  std::string model;
+};
+
+/// A runner: registers itself, answers reports and orders, and passes requests
+/// to a function.
+class Runner {
+ public:
+  /// Answers one request; returns false if the connection must be closed. May
+  /// write the answer in parts.
+  using Handler = std::function<bool(const Request&, Connection&)>;
+
+  Runner(Store& store, Record& record, RunnerOptions options, Handler handler);
+
+  [[nodiscard]] const Address& Where() const { return this->address; }
+  [[nodiscard]] const std::string& Id() const { return this->options.id; }
+  /// Registers the runner now and, until `Stop`, with each heartbeat.
+  void Start();
+  /// Ends the heartbeats, without a change of the registration.
+  void StopHeartbeats() { this->beating = false; }
+  /// Writes one registration.
+  void Register(const std::string& state);
+  /// Removes the registration.
+  void Unregister();
+
+ private:
+  void Accept(int listener);
+  void Serve(int file);
+  [[nodiscard]] std::string Report() const;
+
+  Store& store;
+  Record& record;
+  RunnerOptions options;
+  Handler handler;
+  Address address;
+  std::int64_t born = UnixMs();
+  std::atomic<bool> beating = false;
+};
+
+/// Returns a complete answer to `request` with the headers of a run.
+[[nodiscard]] std::string Answer(const Request& request,
+                                 int status,
+                                 const std::string& body);
+/// Returns the head of an answer to `request` up to the empty line, for a body
+/// that `framing` describes.
+[[nodiscard]] std::string AnswerHead(const Request& request,
+                                     int status,
+                                     const std::string& framing);
+/// Returns one chunk of a chunked body.
+[[nodiscard]] std::string Chunk(const std::string& data);
+/// Returns one event of a stream.
+[[nodiscard]] std::string Event(int id);
+
+}  // namespace review
+
+#endif  // REVIEW_STANDIN_RUNNER_H_
