--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -166,17 +166,17 @@
   this->store.SetKey("keyed.op", "config", kConfig);
   for (int i = 0; i < 3; ++i) {
     this->runners.push_back(std::make_unique<Runner>(
-        this->store, this->record,
+        &this->store, this->record,
         RunnerOptions{"i-desk-" + std::to_string(i), RunIp(20 + i), "desk",
-                      "z-a", 6, ""},
+                      "z-a", 6, "", 0, UnixMs()},
         [](const Request& request, Connection& connection) {
           std::this_thread::sleep_for(kWork);
           return connection.Write(Answer(request, 200, std::string(800, 'b')));
         }));
     this->runners.push_back(std::make_unique<Runner>(
-        this->store, this->record,
+        &this->store, this->record,
         RunnerOptions{"i-care-" + std::to_string(i), RunIp(30 + i), "care",
-                      "z-a", 64, "m0"},
+                      "z-a", 64, "m0", 0, UnixMs()},
         [this](const Request& request, Connection& connection) {
           return this->AnswerReport(request, connection);
         }));
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -137,9 +137,9 @@
   this->store.SetKey("keyed.op", "config", kConfig);
   for (int i = 0; i < 2; ++i) {
     this->runners.push_back(std::make_unique<Runner>(
-        this->store, this->record,
+        &this->store, this->record,
         RunnerOptions{"i-desk-" + std::to_string(i), RunIp(20 + i), "desk",
-                      "z-a", 6, ""},
+                      "z-a", 6, "", 0, UnixMs()},
         [this](const Request& request, Connection& connection) {
           return this->OnRun(request, connection);
         }));
--- a/review/standin/runner.cc
+++ b/review/standin/runner.cc
@@ -13,8 +13,25 @@
 constexpr int kConflict = 409;
 constexpr int kMisdirected = 421;
 
+std::string Models(const RunnerOptions& options) {
+  return options.model.empty() ? ""
+                               : "{\"name\":\"" + options.model +
+                                     "\",\"version\":1,\"adapters\":[]}";
+}
+
 }  // namespace
 
+std::string Registration(const RunnerOptions& options,
+                         const Address& address,
+                         const std::string& state) {
+  return "{\"service\":\"" + options.service + "\",\"addr\":\"" +
+         address.Text() + "\",\"zone\":\"" + options.zone +
+         "\",\"version\":\"v1\",\"slots\":" + std::to_string(options.slots) +
+         ",\"state\":\"" + state +
+         "\",\"cold_left_ms\":0,\"born\":" + std::to_string(options.born) +
+         ",\"models\":[" + Models(options) + "],\"seq\":1}";
+}
+
 std::string AnswerHead(const Request& request,
                        int status,
                        const std::string& framing) {
@@ -47,7 +64,7 @@
          "\n\n";
 }
 
-Runner::Runner(Store& store,
+Runner::Runner(Store* store,
                Record& record,
                RunnerOptions options,
                Handler handler)
@@ -55,7 +72,7 @@
       record(record),
       options(std::move(options)),
       handler(std::move(handler)),
-      address{this->options.ip, 0} {
+      address{this->options.ip, this->options.port} {
   const int listener = Listen(this->address);
   std::thread([this, listener] { this->Accept(listener); }).detach();
 }
@@ -82,34 +99,20 @@
 }
 
 void Runner::Register(const std::string& state) {
-  const std::string models = this->options.model.empty()
-                                 ? ""
-                                 : "{\"name\":\"" + this->options.model +
-                                       "\",\"version\":1,\"adapters\":[]}";
-  this->store.SetKey(
-      "keyed.servers", this->options.id,
-      "{\"service\":\"" + this->options.service + "\",\"addr\":\"" +
-          this->address.Text() + "\",\"zone\":\"" + this->options.zone +
-          "\",\"version\":\"v1\",\"slots\":" +
-          std::to_string(this->options.slots) + ",\"state\":\"" + state +
-          "\",\"cold_left_ms\":0,\"born\":" + std::to_string(this->born) +
-          ",\"models\":[" + models + "],\"seq\":1}");
+  this->store->SetKey("keyed.servers", this->options.id,
+                      Registration(this->options, this->address, state));
 }
 
 void Runner::Unregister() {
   this->beating = false;
-  this->store.SetKey("keyed.servers", this->options.id, "");
+  this->store->SetKey("keyed.servers", this->options.id, "");
 }
 
 std::string Runner::Report() const {
-  const std::string models = this->options.model.empty()
-                                 ? ""
-                                 : "{\"name\":\"" + this->options.model +
-                                       "\",\"version\":1,\"adapters\":[]}";
-  return "{\"stage\":\"both\",\"models\":[" + models +
+  return "{\"stage\":\"both\",\"models\":[" + Models(this->options) +
          "],\"busy\":false,\"seq\":0,\"waiting\":0,\"running\":0,"
          "\"kv_used\":0,\"kv_total\":232000,\"handles\":0,\"born\":" +
-         std::to_string(this->born) + "}";
+         std::to_string(this->options.born) + "}";
 }
 
 void Runner::Serve(int file) {
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -20,17 +20,27 @@
   int slots = 64;
   /// The model that it holds; empty for a service without an engine.
   std::string model;
+  /// 0 for any free port.
+  std::uint16_t port = 0;
+  /// When it started, in Unix milliseconds.
+  std::int64_t born = UnixMs();
 };
 
+/// Returns what a runner at `address` says of itself in the store.
+[[nodiscard]] std::string Registration(const RunnerOptions& options,
+                                       const Address& address,
+                                       const std::string& state);
+
 /// A runner: registers itself, answers reports and orders, and passes requests
-/// to a function.
+/// to a function. In a process of its own it has no store, and is registered by
+/// the process that has it.
 class Runner {
  public:
   /// Answers one request; returns false if the connection must be closed. May
   /// write the answer in parts.
   using Handler = std::function<bool(const Request&, Connection&)>;
 
-  Runner(Store& store, Record& record, RunnerOptions options, Handler handler);
+  Runner(Store* store, Record& record, RunnerOptions options, Handler handler);
 
   [[nodiscard]] const Address& Where() const { return this->address; }
   [[nodiscard]] const std::string& Id() const { return this->options.id; }
@@ -48,12 +58,11 @@
   void Serve(int file);
   [[nodiscard]] std::string Report() const;
 
-  Store& store;
+  Store* store;
   Record& record;
   RunnerOptions options;
   Handler handler;
   Address address;
-  std::int64_t born = UnixMs();
   std::atomic<bool> beating = false;
 };
 
