--- a/review/standin/net.cc
+++ b/review/standin/net.cc
@@ -210,6 +210,7 @@
   if (!this->ReadBody(request.fields, false, request.body)) {
     return std::nullopt;
   }
+  ++this->request_count;
   return request;
 }
 
--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -96,6 +96,8 @@
   /// Reads a request; returns nothing at the end of the connection.
   [[nodiscard]] std::optional<Request> ReadRequest();
   [[nodiscard]] Response ReadResponse();
+  /// Returns the number of requests read so far.
+  [[nodiscard]] int RequestCount() const { return this->request_count; }
   /// Returns whether the peer has closed the connection.
   [[nodiscard]] bool IsClosedByPeer() const;
   /// Reads fail from now on if no byte arrives for this time.
@@ -114,6 +116,7 @@
   int file;
   std::string buffer;
   std::size_t received = 0;
+  int request_count = 0;
 };
 
 /// Returns a listening socket; `address.port` is set if it was 0.
