Show gateways that refuse a service after its targets were released

Cause: an entry that follows the lease holder's feed reads the log itself only every few seconds, and then applies older records of a target after newer ones. A target that drained and started again under its id and address is left marked as leaving, and nothing clears the mark.

The stand-in of a target can leave, end and start again.

--- a/review/standin/runner.cc
+++ b/review/standin/runner.cc
@@ -85,26 +85,48 @@
 }
 
 void Runner::Start() {
-  this->beating = true;
-  this->Register("ready");
+  this->Beat();
   std::thread([this] {
     while (true) {
       std::this_thread::sleep_for(kHeartbeat);
-      if (!this->beating) {
-        return;
-      }
-      this->Register("ready");
+      this->Beat();
     }
   }).detach();
 }
 
+void Runner::Beat() {
+  if (!this->ended) {
+    this->Register(this->leaving ? "draining" : "ready");
+  }
+}
+
+void Runner::Leave() {
+  this->leaving = true;
+  this->Beat();
+}
+
+void Runner::End() {
+  this->ended = true;
+  this->Unregister();
+  const std::lock_guard lock(this->mutex);
+  for (const Connection* connection : this->connections) {
+    connection->Shutdown();
+  }
+}
+
+void Runner::StartAgain() {
+  this->options.born = UnixMs();
+  this->leaving = false;
+  this->ended = false;
+  this->Beat();
+}
+
 void Runner::Register(const std::string& state) {
   this->store->SetKey("keyed.servers", this->options.id,
                       Registration(this->options, this->address, state));
 }
 
 void Runner::Unregister() {
-  this->beating = false;
   this->store->SetKey("keyed.servers", this->options.id, "");
 }
 
@@ -117,30 +139,37 @@
 
 void Runner::Serve(int file) {
   Connection connection(file);
-  while (const auto request = connection.ReadRequest()) {
-    const std::string expected =
-        request->fields.Get("X-Pimentospar-Expect-Instance");
-    if (!expected.empty() && expected != this->options.id) {
-      (void)connection.Write(
-          "HTTP/1.1 " + std::to_string(kMisdirected) +
-          " X\r\nX-Pimentospar-Instance: " + this->options.id +
-          "\r\nContent-Length: 0\r\n\r\n");
-      continue;
-    }
-    if (request->target == "/api/report") {
-      (void)connection.Write(Answer(*request, kOk, this->Report()));
-      continue;
-    }
-    if (request->target == "/api/order") {
-      (void)connection.Write(Answer(*request, kConflict, "{}"));
-      continue;
-    }
-    this->record.Line("run " + request->fields.Get("X-Pimentospar-Request-Id") +
-                      " at " + this->options.id);
-    if (!this->handler(*request, connection)) {
-      return;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->connections.insert(&connection);
+  }
+  while (!this->ended) {
+    const auto request = connection.ReadRequest();
+    if (!request || this->ended || !this->ServeRequest(*request, connection)) {
+      break;
     }
   }
+  const std::lock_guard lock(this->mutex);
+  this->connections.erase(&connection);
+}
+
+bool Runner::ServeRequest(const Request& request, Connection& connection) {
+  const std::string expected =
+      request.fields.Get("X-Pimentospar-Expect-Instance");
+  if (!expected.empty() && expected != this->options.id) {
+    return connection.Write("HTTP/1.1 " + std::to_string(kMisdirected) +
+                            " X\r\nX-Pimentospar-Instance: " +
+                            this->options.id + "\r\nContent-Length: 0\r\n\r\n");
+  }
+  if (request.target == "/api/report") {
+    return connection.Write(Answer(request, kOk, this->Report()));
+  }
+  if (request.target == "/api/order") {
+    return connection.Write(Answer(request, kConflict, "{}"));
+  }
+  this->record.Line("run " + request.fields.Get("X-Pimentospar-Request-Id") +
+                    " at " + this->options.id);
+  return this->handler(request, connection);
 }
 
 }  // namespace review
--- a/review/standin/runner.h
+++ b/review/standin/runner.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <string>
 
 #include "net.h"
@@ -46,16 +47,24 @@
   [[nodiscard]] const std::string& Id() const { return this->options.id; }
   /// Registers the runner now and, until `Stop`, with each heartbeat.
   void Start();
-  /// Ends the heartbeats, without a change of the registration.
-  void StopHeartbeats() { this->beating = false; }
+  [[nodiscard]] bool IsLeaving() const { return this->leaving; }
   /// Writes one registration.
   void Register(const std::string& state);
   /// Removes the registration.
   void Unregister();
+  /// Says in the store and in all answers that the runner leaves.
+  void Leave();
+  /// Ends the runner: it answers nothing, and its registration is removed.
+  void End();
+  /// Starts the runner again, at the same address and under the same id.
+  void StartAgain();
 
  private:
   void Accept(int listener);
   void Serve(int file);
+  /// Returns false if the connection must be closed.
+  bool ServeRequest(const Request& request, Connection& connection);
+  void Beat();
   [[nodiscard]] std::string Report() const;
 
   Store* store;
@@ -64,6 +73,11 @@
   Handler handler;
   Address address;
   std::atomic<bool> beating = false;
+  std::atomic<bool> leaving = false;
+  std::atomic<bool> ended = false;
+  std::mutex mutex;
+  /// The connections that are open.
+  std::set<const Connection*> connections;
 };
 
 /// Returns a complete answer to `request` with the headers of a run.
