End messages whose framing never ends

Cause: limits on heads, bodies and events count parsed bytes. The parser takes a head, a chunk's size line and trailer fields only as a whole, and the receive buffer that holds them until then had no limit. The same on the caller's side, in the daemon's server and client, and in pimentosparctl; and chunks that are nearly all extension were limited by their data.

Change: at most 64 KB are kept unparsed (net/read_limits.h), 8 MB of framing for each response, 64 MB for a body that the daemon's client keeps whole. A response that needs more has broken off; a request gets 400.

The tests failed before, on: request_handler_test EndsEndlessFramingOfAChunkedBody (48 to 67 MB read, 504 at the deadline) and EndsChunksThatAreMostlyFraming (67 MB), caller_server_test EndsEndlessFramingOfARequest (16 MB), http_server_test RefusesEndlessFramingOfARequest (no answer), http_connection_test EndsAResponseWithEndlessFraming (ended by its deadline).

--- a/src/ctl/http_client.cc
+++ b/src/ctl/http_client.cc
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include "net/address.h"
+#include "net/read_limits.h"
 
 namespace pimentospar::ctl {
 
@@ -57,8 +58,9 @@
   }
   request.body() = body;
   request.prepare_payload();
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   http::response_parser<http::string_body> parser;
+  parser.header_limit(kMaxResponseHeadBytes);
   parser.body_limit(kMaxAnswer);
   stream.expires_after(kTimeout);
   // The time-out holds for asynchronous calls only, so they are chained here.
--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -1,11 +1,13 @@
 #include "gateway/caller_server.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include "gateway/sockets.h"
 #include "net/log_line.h"
+#include "net/read_limits.h"
 
 namespace pimentospar {
 
@@ -145,6 +147,10 @@
   Parser parser;
   parser.header_limit(this->limits.max_header_bytes);
   parser.body_limit(this->limits.max_body_bytes);
+  // The limits may have changed since the buffered bytes were received.
+  connection.buffer.max_size(
+      std::max(connection.buffer.size(),
+               this->limits.max_header_bytes + kMaxUnparsedBytes));
   const error_code error = this->ReadRequest(connection, parser);
   if (!error) {
     return this->HandleRequest(connection, parser);
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -16,7 +16,6 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t kBodyBufferBytes = 8192;
-constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 constexpr int kMaxInterimResponses = 16;
 // A peer that has lost power sends no reset. The kernel closes the connection
 // when data stays unacknowledged for this time.
@@ -156,6 +155,7 @@
   std::shared_ptr<const std::string> body;
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::array<char, kBodyBufferBytes> bytes{};
+  std::size_t framing_bytes = 0;
   error_code read_error;
   bool is_sent = false;
   bool cancelled = false;
@@ -204,7 +204,7 @@
   State& state = *this->state;
   for (int i = 0; i <= kMaxInterimResponses && !state.cancelled; ++i) {
     state.parser.emplace();
-    state.parser->header_limit(kMaxHeadBytes);
+    state.parser->header_limit(kMaxResponseHeadBytes);
     state.parser->body_limit(boost::none);
     state.parser->skip(state.is_head_request);
     const IoResult read = Await([&](auto handler) {
@@ -247,6 +247,11 @@
       return BodyReadResult::kError;
     }
     const std::size_t size = state.bytes.size() - parser.get().body().size;
+    state.framing_bytes += read.bytes - size;
+    if (state.framing_bytes > state.pool.options.max_framing_bytes) {
+      state.read_error = http::error::buffer_overflow;
+      return BodyReadResult::kError;
+    }
     if (size > 0) {
       data = {state.bytes.data(), size};
       return BodyReadResult::kData;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -13,6 +13,7 @@
 
 #include "gateway/fiber_loop.h"
 #include "gateway/timer_queue.h"
+#include "net/read_limits.h"
 
 namespace pimentospar {
 
@@ -22,7 +23,7 @@
       : socket(context) {}
 
   TcpSocket socket;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::string address;
   /// The peer may close the connection after this time.
   TimePoint usable_until;
@@ -47,6 +48,9 @@
   std::size_t max_buffered_body = 8ULL << 20;
   /// Limit on all such bodies together.
   std::size_t max_buffered_bytes = 32ULL << 20;
+  /// Largest number of bytes of one body that are not data: sizes and
+  /// extensions of chunks, and trailer fields.
+  std::size_t max_framing_bytes = 8ULL << 20;
 };
 
 /// Counts the bytes of all bodies that are kept in memory.
@@ -154,7 +158,8 @@
   /// Returns whether only the end of the connection ends the response, so that
   /// an early end cannot be told from a proper one.
   [[nodiscard]] bool EndsWithConnection() const;
-  /// Reads a part of the body; `data` stays valid until the next call.
+  /// Reads a part of the body; `data` stays valid until the next call. A body
+  /// whose framing exceeds a limit is an error.
   [[nodiscard]] BodyReadResult ReadBody(std::string_view& data);
   /// Returns the rest of the body, or nothing if it ends early or exceeds a
   /// limit of the pool. Its bytes count against the limit for all bodies until
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,8 @@
 #include <boost/beast/http.hpp>
 #include <map>
 
+#include "net/read_limits.h"
+
 namespace pimentospar {
 
 namespace {
@@ -23,6 +25,8 @@
 constexpr std::size_t kMaxQueuedEvents = 1024;
 constexpr std::size_t kMaxIdleConnectionsPerAddress = 32;
 constexpr std::size_t kReadBufferBytes = std::size_t{16} * 1024;
+// Largest body of a response that is kept as a whole.
+constexpr std::size_t kMaxFetchedBytes = std::size_t{64} << 20;
 
 }  // namespace
 
@@ -200,8 +204,9 @@
   if (error) {
     co_return HttpEnd{HttpProgress::kMaybeSent, false, error.message()};
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   http::response_parser<http::buffer_body> parser;
+  parser.header_limit(kMaxResponseHeadBytes);
   parser.body_limit(boost::none);
   co_await http::async_read_header(
       *connection, buffer, parser,
@@ -282,6 +287,12 @@
     }
     if (auto* data = std::get_if<HttpData>(&event)) {
       result.body += data->data;
+      if (result.body.size() > kMaxFetchedBytes) {
+        stream.Cancel();
+        result.progress = HttpProgress::kAnswered;
+        result.error = "body is too large";
+        return result;
+      }
       continue;
     }
     const auto& end = std::get<HttpEnd>(event);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -13,6 +13,8 @@
 #include <boost/fiber/future.hpp>
 #include <boost/json.hpp>
 
+#include "net/read_limits.h"
+
 namespace pimentospar {
 
 namespace {
@@ -156,7 +158,9 @@
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
  public:
   HttpSession(Tcp::socket socket, std::shared_ptr<HttpServer::State> server)
-      : stream(std::move(socket)), server(std::move(server)) {}
+      : stream(std::move(socket)),
+        buffer(server->limits.max_header_bytes + kMaxUnparsedBytes),
+        server(std::move(server)) {}
 
   asio::awaitable<void> Run() {
     while (co_await this->ServeNextRequest()) {
--- a/test/adapter/http_server_test.cc
+++ b/test/adapter/http_server_test.cc
@@ -93,6 +93,18 @@
   BOOST_TEST(this->HasCounted("body_too_large"));
 }
 
+// Guards against a process that keeps all bytes of a line with the size of a
+// chunk, or of a trailer field, that never ends.
+BOOST_FIXTURE_TEST_CASE(RefusesEndlessFramingOfARequest, Fixture) {
+  const std::string filler(4 << 20, 'x');
+  for (const std::string start : {"1;", "0\r\nX-Filler: "}) {
+    BOOST_TEST(this->Send("POST / HTTP/1.1\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n" +
+                          start + filler)
+                   .find("\"malformed_http\"") != std::string::npos);
+  }
+}
+
 // Guards against a connection that stays open for ever because its caller stops
 // sending in the middle of a request.
 BOOST_FIXTURE_TEST_CASE(ClosesConnectionOfStalledSender, Fixture) {
--- a/test/gateway/caller_server_test.cc
+++ b/test/gateway/caller_server_test.cc
@@ -100,6 +100,27 @@
   BOOST_TEST(body.ReadAll().starts_with("HTTP/1.1 413"));
 }
 
+// The line with the size of a chunk, or a trailer field, of a request never
+// ends. The server kept all bytes of it.
+BOOST_AUTO_TEST_CASE(EndsEndlessFramingOfARequest) {
+  ServerFixture& fixture = ServerFixture::Create();
+  constexpr std::size_t kMaxSentBytes = 16ULL << 20;
+  constexpr std::size_t kMaxReadBytes = 8ULL << 20;
+  for (const std::string_view start : {"1;", "0\r\nX-Filler: "}) {
+    RawConnection caller(fixture.server.LocalAddress());
+    caller.Write(
+        "POST / HTTP/1.1\r\nHost: a\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n");
+    caller.Write(start);
+    std::size_t sent = 0;
+    while (sent < kMaxSentBytes && caller.IsOpen()) {
+      caller.Write(std::string(64 << 10, 'x'));
+      sent += 64 << 10;
+    }
+    BOOST_TEST(sent < kMaxReadBytes);
+  }
+}
+
 // A log reader that stops reading must not block the program. Lines that do not
 // fit are dropped, and their number is logged when the reader resumes.
 BOOST_AUTO_TEST_CASE(LogNeverBlocksOnItsReader) {
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -247,6 +247,13 @@
     };
   }
 
+  // Framing of a chunked body that `part` continues without end.
+  struct Framing {
+    std::string_view name;
+    std::string start;
+    std::string part;
+  };
+
   static constexpr std::size_t kMaxSentBytes = 64ULL << 20;
   // What an entry may read of one response, with room for socket buffers.
   static constexpr std::size_t kMaxReadBytes = 24ULL << 20;
@@ -305,6 +312,49 @@
   BOOST_TEST(this->sent_bytes < kMaxReadBytes);
 }
 
+// A line with the size of a chunk, or trailer fields, that never end made the
+// gateway keep all bytes of them, until it exceeded its memory and was killed
+// together with the requests of other callers.
+BOOST_FIXTURE_TEST_CASE(EndsEndlessFramingOfAChunkedBody, EndlessResponse) {
+  const std::string filler(64 << 10, 'x');
+  const std::vector<Framing> endless = {
+      {"chunk extension", "1;", filler},
+      {"spaces after the size of a chunk", "1", std::string(64 << 10, ' ')},
+      {"trailer value", "0\r\nX-Filler: ", filler},
+      {"trailer fields", "0\r\n", "X-Filler: 0123456789\r\n"}};
+  for (const Framing& framing : endless) {
+    BOOST_TEST_CONTEXT(framing.name) {
+      for (const std::string_view path : {"/unsafe/1", "/once/1"}) {
+        this->sent_bytes = 0;
+        ScriptedTarget target(this->Repeat(
+            "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: ID\r\n" +
+                std::string(kStamp) + "Transfer-Encoding: chunked\r\n\r\n" +
+                framing.start,
+            framing.part));
+        this->AddTarget("t", target);
+        const std::string response =
+            this->Send("POST " + std::string(path), "", "x");
+        BOOST_TEST(response.starts_with("HTTP/1.1 502"),
+                   response.substr(0, 100));
+        BOOST_TEST(this->sent_bytes < kMaxReadBytes);
+      }
+    }
+  }
+}
+
+// Each chunk carries one byte of data behind a long extension, so that limits
+// on the data alone were met only after gigabytes.
+BOOST_FIXTURE_TEST_CASE(EndsChunksThatAreMostlyFraming, EndlessResponse) {
+  ScriptedTarget target(this->Repeat(
+      "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: ID\r\n" +
+          std::string(kStamp) + "Transfer-Encoding: chunked\r\n\r\n",
+      "1;" + std::string(16 << 10, 'x') + "\r\nd\r\n"));
+  this->AddTarget("t", target);
+  const std::string response = this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"), response.substr(0, 100));
+  BOOST_TEST(this->sent_bytes < kMaxReadBytes);
+}
+
 // Many targets with such bodies together stay within one limit.
 BOOST_FIXTURE_TEST_CASE(EndsManyBodiesWithoutEnd, EndlessResponse) {
   ScriptedTarget target([](RawConnection& connection,
