Refuse messages in a transfer coding that is not decoded

Cause: the parser takes a request whose last transfer coding is not `chunked` for one without a body, and the gateway read the bytes of the body as the next request. The daemon's server did the same. The bodies of responses in such a coding were passed on as the body itself, without the field that names the coding.

Change: a message has no transfer coding or `chunked` alone. Any other request gets 400 and a closed connection (RFC 9112, 6.3), any other response has broken off.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -7,6 +7,7 @@
 
 #include "gateway/sockets.h"
 #include "net/log_line.h"
+#include "net/message_framing.h"
 #include "net/read_limits.h"
 
 namespace pimentospar {
@@ -117,10 +118,16 @@
       http::async_read_header(socket, connection.buffer, parser,
                               std::move(handler));
     });
-    if (!head.IsGood() || parser.is_done()) {
+    if (!head.IsGood()) {
       return head.error;
     }
   }
+  if (!HasKnownTransferCoding(parser.get())) {
+    return http::error::bad_transfer_encoding;
+  }
+  if (parser.is_done()) {
+    return {};
+  }
   if (boost::beast::iequals(parser.get()[http::field::expect],
                             "100-continue")) {
     constexpr std::string_view kContinueResponse =
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -8,6 +8,7 @@
 #include "gateway/sockets.h"
 #include "net/address.h"
 #include "net/log_line.h"
+#include "net/message_framing.h"
 
 namespace pimentospar {
 
@@ -216,6 +217,10 @@
     if (!read.IsGood()) {
       return false;
     }
+    if (!HasKnownTransferCoding(state.parser->get())) {
+      state.read_error = http::error::bad_transfer_encoding;
+      return false;
+    }
     constexpr int kFirstFinalStatus = 200;
     if (state.parser->get().result_int() >= kFirstFinalStatus) {
       return true;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <map>
 
+#include "net/message_framing.h"
 #include "net/read_limits.h"
 
 namespace pimentospar {
@@ -211,6 +212,9 @@
   co_await http::async_read_header(
       *connection, buffer, parser,
       asio::redirect_error(asio::use_awaitable, error));
+  if (!error && !HasKnownTransferCoding(parser.get())) {
+    error = http::error::bad_transfer_encoding;
+  }
   if (error) {
     co_return HttpEnd{HttpProgress::kMaybeSent, false, error.message()};
   }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -13,6 +13,7 @@
 #include <boost/fiber/future.hpp>
 #include <boost/json.hpp>
 
+#include "net/message_framing.h"
 #include "net/read_limits.h"
 
 namespace pimentospar {
@@ -192,8 +193,17 @@
     }
     const ScopedRequestCount count(this->server->requests);
     this->stream.expires_after(this->server->limits.stall_timeout);
-    co_await http::async_read(this->stream, this->buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_header(
+        this->stream, this->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !HasKnownTransferCoding(parser.get())) {
+      error = http::error::bad_transfer_encoding;
+    }
+    if (!error && !parser.is_done()) {
+      co_await http::async_read(
+          this->stream, this->buffer, parser,
+          asio::redirect_error(asio::use_awaitable, error));
+    }
     this->stream.expires_never();
     if (error) {
       co_await this->RespondToReadError(error);
--- a/test/adapter/http_server_test.cc
+++ b/test/adapter/http_server_test.cc
@@ -93,6 +93,18 @@
   BOOST_TEST(this->HasCounted("body_too_large"));
 }
 
+// Guards against a body that is read as the next request, because its transfer
+// coding is not decoded.
+BOOST_FIXTURE_TEST_CASE(ReadsARequestThatIsHiddenInABody, Fixture) {
+  for (const std::string coding : {"identity", "chunked, identity", "gzip"}) {
+    const std::string response =
+        this->Send("POST / HTTP/1.1\r\nTransfer-Encoding: " + coding +
+                   "\r\n\r\nGET /hidden HTTP/1.1\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(response.find("\"malformed_http\"") != std::string::npos);
+    BOOST_TEST(response.find("HTTP/1.1 200") == std::string::npos);
+  }
+}
+
 // Guards against a process that keeps all bytes of a line with the size of a
 // chunk, or of a trailer field, that never ends.
 BOOST_FIXTURE_TEST_CASE(RefusesEndlessFramingOfARequest, Fixture) {
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -67,6 +67,67 @@
   BOOST_TEST(target.Requests().empty());
 }
 
+// A request whose last transfer coding is not `chunked` was read as one without
+// a body, and the bytes of its body as the next request, which a target ran.
+BOOST_FIXTURE_TEST_CASE(RunsARequestThatIsHiddenInABody, Fixture) {
+  ScriptedTarget target(Echo);
+  this->AddTarget("t", target);
+  const std::string hidden = HandlerFixture::Request("POST /unsafe/2");
+  const std::vector<std::string> uncertain = {
+      "Transfer-Encoding: identity\r\n",
+      "Transfer-Encoding: chunked, identity\r\n",
+      "Transfer-Encoding: identity\r\nTransfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: xchunked\r\n",
+      "Transfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: \"chunked\"\r\n",
+      "Transfer-Encoding: chunked;q=1\r\n",
+      "Transfer-Encoding:\r\n",
+      "Transfer-Encoding: ,\r\n",
+      "Transfer-Encoding: identity\r\nContent-Length: 4\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n"};
+  for (const std::string& headers : uncertain) {
+    RawConnection caller(this->server.LocalAddress());
+    caller.Write(
+        "POST /unsafe/1 HTTP/1.1\r\nHost: a.example\r\n"
+        "X-Pimentospar-Request-Id: r0\r\n" +
+        headers + "\r\n" + hidden);
+    const std::string& response = caller.ReadAll();
+    BOOST_TEST(response.starts_with("HTTP/1.1 400"), headers + response);
+    BOOST_TEST(Count(response, "HTTP/1.1") == 1U, headers + response);
+  }
+  BOOST_TEST(target.Requests().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(TakesAChunkedBody, Fixture) {
+  ScriptedTarget target(Echo);
+  this->AddTarget("t", target);
+  for (const std::string_view coding : {"chunked", "Chunked", " chunked "}) {
+    RawConnection caller(this->server.LocalAddress());
+    caller.Write(
+        "POST /unsafe/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+        "X-Pimentospar-Request-Id: r1\r\nTransfer-Encoding: " +
+        std::string(coding) + "\r\n\r\n" + Chunk("hello") + "0\r\n\r\n");
+    BOOST_TEST(caller.ReadAll().starts_with("HTTP/1.1 200"));
+    BOOST_TEST(target.Requests().back().ends_with("\r\n\r\nhello"));
+  }
+}
+
+// A body in a transfer coding that is not decoded was passed on as if it were
+// the body itself, without the field that names the coding.
+BOOST_FIXTURE_TEST_CASE(PassesACodedResponseBodyOnAsTheBodyItself, Fixture) {
+  ScriptedTarget target(
+      [](RawConnection& connection, const std::string& request) {
+        connection.Write("HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " +
+                         RequestIdOf(request) + "\r\n" + std::string(kStamp) +
+                         "Transfer-Encoding: gzip, chunked\r\n\r\n" +
+                         Chunk("coded") + "0\r\n\r\n");
+        return true;
+      });
+  this->AddTarget("t", target);
+  const std::string response = this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"), response);
+}
+
 BOOST_FIXTURE_TEST_CASE(RetriesASafeRequestAtAnotherTarget, Fixture) {
   ScriptedTarget broken(
       [](RawConnection& connection, const std::string& request) {
