Hold signals back until their handlers are installed

What was seen: a SIGHUP or SIGTERM in the first milliseconds after the start ended the gateway, with no line in its log (FAULT; suspected for the users' reports, which have no logs).

Cause: signals keep their default action until a handler is installed, which was when the whole gateway had been built.

The daemon holds SIGHUP back and logs it.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,5 +1,4 @@
 #include <popt.h>
-#include <pthread.h>
 
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
@@ -11,6 +10,7 @@
 #include "agent/agent.h"
 #include "daemon/settings.h"
 #include "entry/entry.h"
+#include "net/held_signals.h"
 #include "net/log_line.h"
 
 namespace pimentospar {
@@ -27,12 +27,17 @@
   int describe = 0;
 };
 
-// Waits for a signal up to a time; returns its number, or 0.
+// Waits for a stop signal up to a time; returns its number, or 0. A running
+// process does not apply changed settings, so that a hangup changes nothing.
 int WaitForSignal(const sigset_t& signals, std::chrono::milliseconds time) {
   timespec limit{};
   limit.tv_sec = time.count() / 1000;
   limit.tv_nsec = (time.count() % 1000) * 1'000'000;
   const int number = sigtimedwait(&signals, nullptr, &limit);
+  if (number == SIGHUP) {
+    LogInfo("hangup_ignored");
+    return 0;
+  }
   return number > 0 ? number : 0;
 }
 
@@ -79,18 +84,13 @@
   return code;
 }
 
-int RunWithSettings(const Settings& settings, const Options& options) {
+int RunWithSettings(const Settings& settings,
+                    const Options& options,
+                    const sigset_t& signals) {
   if (options.check_only != 0) {
     return EXIT_SUCCESS;
   }
   SetUpLog(settings.log_level);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  // Blocked before any thread starts, so that only the main thread receives
-  // them.
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   try {
     return settings.GetRole() == Role::kAgent ? Run<Agent>(settings, signals)
@@ -101,7 +101,9 @@
   }
 }
 
-int Main(int argc, const char** argv) {
+// `signals` are held back in all threads, so that only the main thread receives
+// them.
+int Main(int argc, const char** argv, const sigset_t& signals) {
   Options options;
   const poptOption table[] = {
       {"settings", 's', POPT_ARG_STRING, &options.settings_file, 0,
@@ -131,7 +133,7 @@
   return leaf::try_handle_all(
       [&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(settings, LoadSettings(options.settings_file));
-        return RunWithSettings(settings, options);
+        return RunWithSettings(settings, options, signals);
       },
       [](const SettingsErrors& found) {
         for (const SettingsError& error : found.errors) {
@@ -146,5 +148,6 @@
 }  // namespace pimentospar
 
 int main(int argc, const char** argv) {
-  return pimentospar::Main(argc, argv);
+  const pimentospar::HeldSignals held_signals;
+  return pimentospar::Main(argc, argv, held_signals.Set());
 }
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -194,6 +194,10 @@
 call "$entry1" /v1/chat/completions "$long" -N >"$work/drain.out" &
 caller=$!
 wait_until grep -q t20- "$work/drain.out"
+# Comes before the stop, which the agent would not log if the hangup ended it.
+kill -HUP "$(pid_of "agent$spare")"
+wait_until grep -q event=hangup_ignored "$work/agent$spare.log" || true
+check "a hangup does not end an agent" kill -0 "$(pid_of "agent$spare")"
 kill "$(pid_of "agent$spare")"
 wait "$caller" || true
 check "a stream during a planned stop is whole" \
