--- a/test/process/process_start_test.cc
+++ b/test/process/process_start_test.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 #include "gateway_process.h"
 
@@ -64,5 +65,31 @@
              std::string::npos);
 }
 
+// The platform rewrites the settings file while a process starts. The process
+// read a part of it and exited.
+BOOST_AUTO_TEST_CASE(SettingsThatAreBeingWrittenEndTheProcess) {
+  const TemporaryFolder folder;
+  const ProcessAddresses addresses{OwnIp()};
+  const std::string text = SettingsText(addresses);
+  WriteFile(folder.File("settings.toml"), text.substr(0, text.size() / 2));
+  GatewayProcess process(folder.File("settings.toml"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  WriteFile(folder.File("settings.toml"), text);
+  BOOST_TEST(process.AwaitOutput("event=started"));
+  BOOST_TEST(!process.End());
+}
+
+// Settings that stay faulty end the process, with a line for each fault.
+BOOST_AUTO_TEST_CASE(FaultySettingsEndTheProcessWithALine) {
+  const TemporaryFolder folder;
+  WriteFile(folder.File("settings.toml"), "host = 1\n");
+  GatewayProcess process(folder.File("settings.toml"));
+  const auto end = process.AwaitEnd();
+  BOOST_REQUIRE(end.has_value());
+  BOOST_TEST((end->exit_code == 2));
+  BOOST_TEST(process.Output().find("address.caller: must be") !=
+             std::string::npos);
+}
+
 }  // namespace
 }  // namespace pimentospar::test
