Wait for a port that is in use

What was seen: the gateway exits with 1 and no word if the port of callers, readiness, metrics or links is taken for a moment (FAULT; suspected for the users' reports, which have no logs).

Cause: bind throws in the constructors of the servers and of the entry transport, nothing catches or logs that, and the log lines so far are not written. Change: such a server logs listen_failed, tries again every 250 ms and logs listening; the rest of the process runs meanwhile, and is ready once callers can connect.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "gateway/sockets.h"
+#include "net/address.h"
 #include "net/log_line.h"
 #include "net/message_framing.h"
 #include "net/read_limits.h"
@@ -50,20 +51,42 @@
                            CallerHandler handler)
     : loop(loop),
       timers(timers),
+      address(address),
       acceptor(loop.Context()),
       handler(std::move(handler)) {
-  this->acceptor.open(address.protocol());
-  this->acceptor.set_option(TcpAcceptor::reuse_address(true));
-  this->acceptor.bind(address);
-  this->acceptor.listen(kBacklog);
+  // A failure is logged when the server starts.
+  (void)this->Listen();
 }
 
-Tcp::endpoint CallerServer::LocalAddress() const {
-  return this->acceptor.local_endpoint();
+error_code CallerServer::Listen() {
+  error_code error;
+  this->acceptor.open(this->address.protocol(), error);
+  if (!error) {
+    this->acceptor.set_option(TcpAcceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    this->acceptor.bind(this->address, error);
+  }
+  if (!error) {
+    this->acceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    error_code ignored;
+    this->acceptor.close(ignored);
+    return error;
+  }
+  this->address = this->acceptor.local_endpoint(error);
+  return error;
 }
 
 void CallerServer::Start() {
-  this->loop.Spawn([this] { this->Accept(); });
+  this->loop.Spawn([this] {
+    if (!this->IsListening()) {
+      RetryListening(ToString(FromEndpoint(this->address)),
+                     [this] { return this->Listen(); });
+    }
+    this->Accept();
+  });
 }
 
 void CallerServer::Accept() {
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -31,6 +31,7 @@
 /// of its connections refer to it.
 class CallerServer {
  public:
+  /// Listens at `address` if it is free.
   CallerServer(FiberLoop& loop,
                TimerQueue& timers,
                const Tcp::endpoint& address,
@@ -38,21 +39,28 @@
 
   /// Sets the limits on requests; applies to requests that begin later.
   void SetLimits(const CallerLimits& limits) { this->limits = limits; }
-  /// Accepts connections until the process exits.
+  /// Accepts connections until the process exits, from the time on when
+  /// another process no longer uses the address.
   void Start();
+  /// Returns whether callers can connect.
+  [[nodiscard]] bool IsListening() const { return this->acceptor.is_open(); }
   /// Makes every response from now on ask its caller to close the connection.
   void BeginDrain() { this->draining = true; }
   /// Closes the connections that are waiting for a request.
   void CloseIdle();
   /// Returns the number of requests that are being handled.
   [[nodiscard]] std::size_t InFlight() const { return this->in_flight; }
-  [[nodiscard]] Tcp::endpoint LocalAddress() const;
+  /// Returns the address of the server, with the port that the system chose if
+  /// none was given.
+  [[nodiscard]] Tcp::endpoint LocalAddress() const { return this->address; }
 
  private:
   struct Connection;
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  /// Opens the acceptor; leaves it closed on an error.
+  [[nodiscard]] error_code Listen();
   void Accept();
   void Serve(const std::shared_ptr<Connection>& connection);
   bool ServeNext(Connection& connection);
@@ -62,6 +70,7 @@
 
   FiberLoop& loop;
   TimerQueue& timers;
+  Tcp::endpoint address;
   TcpAcceptor acceptor;
   CallerHandler handler;
   CallerLimits limits;
--- a/src/gateway/entry_transport.cc
+++ b/src/gateway/entry_transport.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/sockets.h"
+#include "net/address.h"
 #include "net/log_line.h"
 
 namespace pimentospar {
@@ -23,13 +25,38 @@
                                Handler handler)
     : loop(loop),
       clock(clock),
-      socket(loop.Context(), local),
+      local(local),
+      socket(loop.Context()),
       self(std::move(self)),
       instance(instance),
-      handler(std::move(handler)) {}
+      handler(std::move(handler)) {
+  // A failure is logged when the transport starts.
+  (void)this->Bind();
+}
+
+error_code EntryTransport::Bind() {
+  error_code error;
+  this->socket.open(this->local.protocol(), error);
+  if (!error) {
+    this->socket.bind(this->local, error);
+  }
+  if (error) {
+    error_code ignored;
+    this->socket.close(ignored);
+    return error;
+  }
+  this->local = this->socket.local_endpoint(error);
+  return error;
+}
 
 void EntryTransport::Start() {
-  this->loop.Spawn([this] { this->RunReceiveLoop(); });
+  this->loop.Spawn([this] {
+    if (!this->socket.is_open()) {
+      RetryListening(ToString(this->LocalAddress()),
+                     [this] { return this->Bind(); });
+    }
+    this->RunReceiveLoop();
+  });
 }
 
 void EntryTransport::RunReceiveLoop() {
@@ -116,8 +143,7 @@
 }
 
 Address EntryTransport::LocalAddress() const {
-  const UdpEndpoint local = this->socket.local_endpoint();
-  return {local.address().to_string(), local.port()};
+  return {this->local.address().to_string(), this->local.port()};
 }
 
 std::string EntryTransport::StampAndEncode(EntryMessage& message) {
--- a/src/gateway/entry_transport.h
+++ b/src/gateway/entry_transport.h
@@ -31,6 +31,7 @@
  public:
   using Handler = std::function<void(const EntryMessage&)>;
 
+  /// Binds the socket to `local` if that is free.
   EntryTransport(FiberLoop& loop,
                  const Clock& clock,
                  const UdpEndpoint& local,
@@ -38,6 +39,8 @@
                  InstanceId instance,
                  Handler handler);
 
+  /// Receives messages until the process exits, from the time on when another
+  /// process no longer uses the address. No message is sent before that.
   void Start();
   /// Adds an entry, or changes its address.
   void OnEntry(const HostId& host, const EntryRegistration& registration);
@@ -71,6 +74,8 @@
   [[nodiscard]] Address LocalAddress() const;
 
  private:
+  /// Opens the socket; leaves it closed on an error.
+  [[nodiscard]] error_code Bind();
   void RunReceiveLoop();
   void OnDatagram(std::span<const char> bytes);
   /// Records the state of the sender; returns false for a message that a later
@@ -81,6 +86,7 @@
 
   FiberLoop& loop;
   const Clock& clock;
+  UdpEndpoint local;
   UdpSocket socket;
   HostId self;
   InstanceId instance;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -213,8 +213,8 @@
 }
 
 bool Gateway::IsReady() const {
-  return !this->draining && this->routes != nullptr &&
-         this->target_watcher.HasSynced();
+  return !this->draining && this->caller_server.IsListening() &&
+         this->routes != nullptr && this->target_watcher.HasSynced();
 }
 
 void Gateway::Drain() {
--- a/src/gateway/sockets.cc
+++ b/src/gateway/sockets.cc
@@ -3,10 +3,19 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <boost/fiber/operations.hpp>
 #include <cerrno>
 
+#include "net/log_line.h"
+
 namespace pimentospar {
 
+namespace {
+
+constexpr std::chrono::milliseconds kListenRetryPause{250};
+
+}  // namespace
+
 void SetSocketOptions(TcpSocket& socket,
                       std::chrono::milliseconds user_timeout) {
   error_code ignored;
@@ -16,6 +25,16 @@
              sizeof timeout_ms);
 }
 
+void RetryListening(std::string_view address,
+                    const std::function<error_code()>& listen) {
+  while (const error_code error = listen()) {
+    LogError("listen_failed",
+             {{"address", address}, {"error", error.message()}});
+    boost::this_fiber::sleep_for(kListenRetryPause);
+  }
+  LogInfo("listening", {{"address", address}});
+}
+
 SocketReadState PeekSocket(TcpSocket& socket) {
   char byte = 0;
   const ssize_t size =
--- a/src/gateway/sockets.h
+++ b/src/gateway/sockets.h
@@ -2,6 +2,8 @@
 #define SRC_GATEWAY_SOCKETS_H_
 
 #include <chrono>
+#include <functional>
+#include <string_view>
 
 #include "gateway/fiber_loop.h"
 
@@ -12,6 +14,12 @@
 void SetSocketOptions(TcpSocket& socket,
                       std::chrono::milliseconds user_timeout);
 
+/// Calls `listen`, which returns why an address cannot be used, until it
+/// succeeds: another process may still use the address, such as a predecessor
+/// that drains. Suspends the fiber in between, and logs each failure.
+void RetryListening(std::string_view address,
+                    const std::function<error_code()>& listen);
+
 /// What a read from a socket would find.
 enum class SocketReadState : std::uint8_t {
   kNothing,
--- a/test/process/gateway_process.cc
+++ b/test/process/gateway_process.cc
@@ -1,6 +1,7 @@
 #include "gateway_process.h"
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -79,6 +80,8 @@
                             O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
+    // The sockets of the test are not the program's.
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     const std::array<const char*, 2> arguments = {PIMENTOSPAR_GATEWAY_PROGRAM,
                                                   nullptr};
     const std::array<const char*, 2> environment = {settings.c_str(), nullptr};
--- a/test/process/process_start_test.cc
+++ b/test/process/process_start_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE process_start
 #include <sys/stat.h>
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <filesystem>
@@ -18,6 +19,10 @@
   std::ofstream(path) << text;
 }
 
+Tcp::endpoint At(const ProcessAddresses& addresses, std::uint16_t port) {
+  return {boost::asio::ip::make_address(addresses.ip), port};
+}
+
 // A process whose settings file is a pipe, so that its start lasts until the
 // test writes the settings.
 struct StartingProcess {
@@ -91,5 +96,51 @@
              std::string::npos);
 }
 
+// A predecessor that still drains, or another program, holds a port. The
+// process exited without a word.
+BOOST_AUTO_TEST_CASE(PortInUseEndsTheProcess) {
+  const ProcessAddresses addresses{OwnIp()};
+  boost::asio::io_context context;
+  for (const std::uint16_t port :
+       {addresses.caller, addresses.ready, addresses.metrics}) {
+    const TemporaryFolder folder;
+    WriteFile(folder.File("settings.toml"), SettingsText(addresses));
+    std::optional<Tcp::acceptor> holder(std::in_place, context,
+                                        At(addresses, port));
+    GatewayProcess process(folder.File("settings.toml"));
+    BOOST_TEST(process.AwaitOutput("event=listen_failed"));
+    BOOST_TEST(process.AwaitOutput("event=started"));
+    // The other addresses are served meanwhile.
+    for (const std::uint16_t other : {addresses.ready, addresses.metrics}) {
+      if (other != port) {
+        BOOST_TEST(Get(At(addresses, other), "/").starts_with("HTTP/1.1 "));
+      }
+    }
+    holder.reset();
+    BOOST_TEST(Eventually([&] {
+      return Get(At(addresses, port), "/").starts_with("HTTP/1.1 ");
+    }));
+    BOOST_TEST(!process.End());
+  }
+}
+
+// The same for the port of the datagrams between the entries.
+BOOST_AUTO_TEST_CASE(EntryPortInUseEndsTheProcess) {
+  using Udp = boost::asio::ip::udp;
+  const TemporaryFolder folder;
+  const ProcessAddresses addresses{OwnIp()};
+  WriteFile(folder.File("settings.toml"), SettingsText(addresses));
+  boost::asio::io_context context;
+  const Udp::endpoint entry(boost::asio::ip::make_address(addresses.ip),
+                            addresses.entry);
+  std::optional<Udp::socket> holder(std::in_place, context, entry);
+  GatewayProcess process(folder.File("settings.toml"));
+  BOOST_TEST(process.AwaitOutput("event=listen_failed"));
+  BOOST_TEST(process.AwaitOutput("event=started"));
+  holder.reset();
+  BOOST_TEST(process.AwaitOutput("event=listening"));
+  BOOST_TEST(!process.End());
+}
+
 }  // namespace
 }  // namespace pimentospar::test
