Take the list of listeners out of the crash tracker

Requests will be told of the end of the grace time in the same way as of new causes of crashes. The list and its subscription become a class of their own. No change of behaviour; crashing_request_test passes.

--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -127,9 +127,7 @@
 void CrashTracker::OnStrikesChanged() {
   this->changed.NotifyAll();
   this->LogNewCauses();
-  for (const Listener& listener : this->listeners) {
-    listener();
-  }
+  this->causes_changed.NotifyAll();
 }
 
 void CrashTracker::LogNewCauses() {
@@ -152,14 +150,4 @@
   this->refused = std::move(now_refused);
 }
 
-CauseSubscription::CauseSubscription(CrashTracker& tracker,
-                                     CrashTracker::Listener listener)
-    : tracker(tracker),
-      entry(tracker.listeners.insert(tracker.listeners.end(),
-                                     std::move(listener))) {}
-
-CauseSubscription::~CauseSubscription() {
-  this->tracker.listeners.erase(this->entry);
-}
-
 }  // namespace pimentospar
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -2,13 +2,13 @@
 #define SRC_GATEWAY_CRASH_TRACKER_H_
 
 #include <functional>
-#include <list>
 #include <memory>
 #include <span>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
+#include "gateway/listener_list.h"
 #include "gateway/upstream.h"
 #include "net/metrics.h"
 #include "pimentospar/quarantine.h"
@@ -20,8 +20,6 @@
 /// responses, and refuses requests that would crash more of them.
 class CrashTracker {
  public:
-  using Listener = std::function<void()>;
-
   /// `may_start_trials` tells whether this entry may let a refused request run
   /// to see whether it still crashes its target; one entry of a fleet may.
   CrashTracker(const Clock& clock,
@@ -52,10 +50,10 @@
   }
   /// Notified when the strikes have changed.
   [[nodiscard]] FiberSignal& Changed() { return this->changed; }
+  /// Called when other requests may be refused than before.
+  [[nodiscard]] ListenerList& CausesChanged() { return this->causes_changed; }
 
  private:
-  friend class CauseSubscription;
-
   /// Whether one incarnation of a target has crashed.
   struct CrashCheck {
     bool running = true;
@@ -77,24 +75,10 @@
   std::unordered_map<CrashId, std::shared_ptr<CrashCheck>> checks;
   std::unordered_set<Fingerprint> witnessed;
   std::vector<Fingerprint> refused;
-  std::list<Listener> listeners;
+  ListenerList causes_changed;
   FiberSignal changed;
 };
 
-/// Calls a function when other requests may be refused than before, unless it
-/// is destroyed before.
-class CauseSubscription {
- public:
-  CauseSubscription(CrashTracker& tracker, CrashTracker::Listener listener);
-  CauseSubscription(const CauseSubscription&) = delete;
-  CauseSubscription& operator=(const CauseSubscription&) = delete;
-  ~CauseSubscription();
-
- private:
-  CrashTracker& tracker;
-  std::list<CrashTracker::Listener>::iterator entry;
-};
-
 }  // namespace pimentospar
 
 #endif  // SRC_GATEWAY_CRASH_TRACKER_H_
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -90,8 +90,8 @@
   this->channel.WatchForDisconnect(cancel);
   const ScopedTimer deadline_timer(this->deps.timers, this->RemainingTime(),
                                    cancel);
-  const CauseSubscription subscription(this->deps.crashes,
-                                       [this] { this->OnCausesChanged(); });
+  const Subscription causes(this->deps.crashes.CausesChanged(),
+                            [this] { this->OnCausesChanged(); });
   AttemptStatus attempt_status = AttemptStatus::kNotSent;
   Reason reason = Reason::kNoTarget;
   while (true) {
