Answer every request that has reached a process that stops

Callers saw: in a planned stop, in calm, requests that were being read, had just arrived or were still at a target at the end of the grace time ended with a closed connection (LOST; suspected for the users' reports, which have no logs, and told by other operators).

Cause: the drain counted complete requests, exited while it read others, closed idle connections on which a request had just arrived, did not serve its listen queue, and ended what was left with the process.

Change: a request counts from its first byte; the process exits when no connection is left, then serves the listen queue and stops listening. Requests that are left 0.7 s before the end of the grace time get 503 if they cannot have run, else 502. Callers that send too slowly get 408, and what refused callers still send is read before their connection closes.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -1,10 +1,13 @@
 #include "gateway/caller_server.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/fiber/operations.hpp>
+#include <optional>
 
+#include "gateway/scope_exit.h"
 #include "gateway/sockets.h"
 #include "net/address.h"
 #include "net/log_line.h"
@@ -25,6 +28,14 @@
 // closes it later by this margin, so that its close does not race with a
 // request.
 constexpr std::chrono::milliseconds kIdleTimeoutMargin{1000};
+// A caller that has just connected sends its request within this time.
+constexpr std::chrono::milliseconds kFirstRequestTime{250};
+// Input of a refused caller is read for this time, and up to this size.
+constexpr std::chrono::milliseconds kDiscardTime{1000};
+constexpr std::size_t kMaxDiscardedBytes = 1UL << 20;
+constexpr std::size_t kDiscardBufferBytes = 4096;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kUnavailable = 503;
 
 unsigned RejectionStatus(const error_code& error) {
   if (error == http::error::header_limit) {
@@ -39,18 +50,36 @@
 }  // namespace
 
 struct CallerServer::Connection {
+  enum class Phase : std::uint8_t { kIdle, kReading, kHandling, kRefusing };
+
   explicit Connection(boost::asio::io_context& context) : socket(context) {}
 
+  /// Ends the reading of a request, which is then refused.
+  void RefuseRequest(unsigned status) {
+    this->refusal = status;
+    error_code ignored;
+    this->socket.cancel(ignored);
+  }
+
   TcpSocket socket;
   boost::beast::flat_buffer buffer;
+  Phase phase = Phase::kIdle;
+  TimePoint accepted_at;
+  bool had_request = false;
+  /// The status that the request which is being read is refused with.
+  std::optional<unsigned> refusal;
+  /// The request that is being handled.
+  CallerRequest* request = nullptr;
 };
 
 CallerServer::CallerServer(FiberLoop& loop,
                            TimerQueue& timers,
+                           const Clock& clock,
                            const Tcp::endpoint& address,
                            CallerHandler handler)
     : loop(loop),
       timers(timers),
+      clock(clock),
       address(address),
       acceptor(loop.Context()),
       handler(std::move(handler)) {
@@ -104,41 +133,78 @@
       boost::this_fiber::sleep_for(kAcceptRetryDelay);
       continue;
     }
-    SetSocketOptions(connection->socket, kUserTimeout);
-    this->loop.Spawn([this, connection] { this->Serve(connection); });
+    this->Serve(std::move(connection));
   }
 }
 
-void CallerServer::Serve(const std::shared_ptr<Connection>& connection) {
-  while (this->ServeNext(*connection)) {
+std::size_t CallerServer::StopAccepting() {
+  std::size_t accepted = 0;
+  error_code error;
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    auto connection = std::make_shared<Connection>(this->loop.Context());
+    this->acceptor.accept(connection->socket, error);
+    if (!error) {
+      ++accepted;
+      this->Serve(std::move(connection));
+    }
   }
-  error_code ignored;
-  connection->socket.shutdown(TcpSocket::shutdown_both, ignored);
-  connection->socket.close(ignored);
+  this->acceptor.close(error);
+  return accepted;
 }
 
-error_code CallerServer::ReadRequest(Connection& connection, Parser& parser) {
-  TcpSocket& socket = connection.socket;
-  const auto close = [&socket] {
-    error_code ignored;
-    socket.close(ignored);
-  };
-  if (connection.buffer.size() == 0) {
-    this->idle_connections.insert(&connection);
-    const ScopedTimer timeout(
-        this->timers, this->limits.idle_timeout + kIdleTimeoutMargin, close);
-    const IoResult ready = Await([&](auto handler) {
-      socket.async_wait(TcpSocket::wait_read, std::move(handler));
-    });
-    this->idle_connections.erase(&connection);
-    if (!ready.IsGood()) {
-      return ready.error;
+void CallerServer::Serve(std::shared_ptr<Connection> connection) {
+  SetSocketOptions(connection->socket, kUserTimeout);
+  connection->accepted_at = this->clock.Now();
+  this->connections.insert(connection.get());
+  this->loop.Spawn([this, connection = std::move(connection)] {
+    const ScopeExit leave([&] { this->connections.erase(connection.get()); });
+    while (this->ServeNext(*connection)) {
     }
+    error_code ignored;
+    connection->socket.shutdown(TcpSocket::shutdown_both, ignored);
+    connection->socket.close(ignored);
+  });
+}
+
+bool CallerServer::AwaitRequest(Connection& connection) {
+  if (connection.buffer.size() > 0) {
+    return true;
   }
+  TcpSocket& socket = connection.socket;
+  const ScopedTimer timeout(
+      this->timers, this->limits.idle_timeout + kIdleTimeoutMargin, [&socket] {
+        error_code ignored;
+        socket.close(ignored);
+      });
+  return Await([&](auto handler) {
+           socket.async_wait(TcpSocket::wait_read, std::move(handler));
+         })
+      .IsGood();
+}
+
+error_code CallerServer::SendContinue(Connection& connection) {
+  constexpr std::string_view kContinueResponse =
+      "HTTP/1.1 100 Continue\r\n\r\n";
+  return Await([&](auto handler) {
+           boost::asio::async_write(
+               connection.socket,
+               boost::asio::buffer(kContinueResponse.data(),
+                                   kContinueResponse.size()),
+               std::move(handler));
+         })
+      .error;
+}
+
+error_code CallerServer::ReadRequest(Connection& connection, Parser& parser) {
+  const auto on_timeout = [&connection] {
+    connection.RefuseRequest(kRequestTimeout);
+  };
   {
-    const ScopedTimer timeout(this->timers, this->limits.header_timeout, close);
+    const ScopedTimer timeout(this->timers, this->limits.header_timeout,
+                              on_timeout);
     const IoResult head = Await([&](auto handler) {
-      http::async_read_header(socket, connection.buffer, parser,
+      http::async_read_header(connection.socket, connection.buffer, parser,
                               std::move(handler));
     });
     if (!head.IsGood()) {
@@ -151,29 +217,32 @@
   if (parser.is_done()) {
     return {};
   }
+  const ScopedTimer timeout(this->timers, this->limits.idle_timeout,
+                            on_timeout);
   if (boost::beast::iequals(parser.get()[http::field::expect],
                             "100-continue")) {
-    constexpr std::string_view kContinueResponse =
-        "HTTP/1.1 100 Continue\r\n\r\n";
-    const IoResult sent = Await([&](auto handler) {
-      boost::asio::async_write(socket,
-                               boost::asio::buffer(kContinueResponse.data(),
-                                                   kContinueResponse.size()),
-                               std::move(handler));
-    });
-    if (!sent.IsGood()) {
-      return sent.error;
+    if (const error_code error = this->SendContinue(connection)) {
+      return error;
     }
   }
-  const ScopedTimer timeout(this->timers, this->limits.idle_timeout, close);
+  // The request may have been refused while its head was taken.
+  if (connection.refusal) {
+    return boost::asio::error::operation_aborted;
+  }
   return Await([&](auto handler) {
-           http::async_read(socket, connection.buffer, parser,
+           http::async_read(connection.socket, connection.buffer, parser,
                             std::move(handler));
          })
       .error;
 }
 
 bool CallerServer::ServeNext(Connection& connection) {
+  connection.phase = Connection::Phase::kIdle;
+  if (!this->AwaitRequest(connection)) {
+    return false;
+  }
+  connection.phase = Connection::Phase::kReading;
+  connection.had_request = true;
   Parser parser;
   parser.header_limit(this->limits.max_header_bytes);
   parser.body_limit(this->limits.max_body_bytes);
@@ -185,10 +254,16 @@
   if (!error) {
     return this->HandleRequest(connection, parser);
   }
-  if (error.category() == error_code(http::error::bad_method).category() &&
+  const bool is_malformed =
+      error.category() == error_code(http::error::bad_method).category() &&
       error != http::error::end_of_stream &&
-      error != http::error::partial_message) {
-    this->RejectMalformed(connection, error);
+      error != http::error::partial_message;
+  if (connection.refusal) {
+    LogWarning("request_incomplete", {{"status", *connection.refusal}});
+    this->Refuse(connection, *connection.refusal);
+  } else if (is_malformed) {
+    LogWarning("request_malformed", {{"error", error.message()}});
+    this->Refuse(connection, RejectionStatus(error));
   }
   return false;
 }
@@ -196,34 +271,89 @@
 bool CallerServer::HandleRequest(Connection& connection, Parser& parser) {
   CallerRequest request{parser.release(), false};
   request.close_after = this->draining || !request.message.keep_alive();
-  ++this->in_flight;
+  connection.phase = Connection::Phase::kHandling;
+  connection.request = &request;
+  const ScopeExit leave([&] { connection.request = nullptr; });
   bool reusable = false;
   {
     CallerChannel channel(connection.socket, this->timers,
                           this->limits.idle_timeout);
     reusable = this->handler(request, channel) && !channel.IsDisconnected();
   }
-  --this->in_flight;
-  // If the drain began during the request, the response did not ask the caller
-  // to close, and the caller would send its next request here.
+  // If the drain began after the head of the response was sent, the caller was
+  // not asked to close, and would send its next request here.
   return reusable && !request.close_after && !this->draining;
 }
 
-void CallerServer::RejectMalformed(Connection& connection,
-                                   const error_code& error) {
-  const std::string head = StatusLine(RejectionStatus(error)) +
-                           "Content-Length: 0\r\nConnection: close\r\n\r\n";
-  LogWarning("request_malformed", {{"error", error.message()}});
+void CallerServer::Refuse(Connection& connection, unsigned status) {
+  connection.phase = Connection::Phase::kRefusing;
+  std::string head = StatusLine(status);
+  if (status == kUnavailable) {
+    head += "Retry-After: 1\r\n";
+  }
+  head += "Content-Length: 0\r\nConnection: close\r\n\r\n";
   CallerChannel channel(connection.socket, this->timers,
                         this->limits.header_timeout);
-  (void)channel.SendResponse(head, {});
+  if (channel.SendResponse(head, {})) {
+    this->DiscardInput(connection);
+  }
+}
+
+void CallerServer::DiscardInput(Connection& connection) {
+  TcpSocket& socket = connection.socket;
+  error_code error;
+  socket.shutdown(TcpSocket::shutdown_send, error);
+  const ScopedTimer timeout(this->timers, kDiscardTime, [&socket] {
+    error_code ignored;
+    socket.close(ignored);
+  });
+  std::array<char, kDiscardBufferBytes> bytes{};
+  std::size_t discarded = 0;
+  while (!error && discarded < kMaxDiscardedBytes) {
+    const IoResult read = Await([&](auto handler) {
+      socket.async_read_some(boost::asio::buffer(bytes), std::move(handler));
+    });
+    discarded += read.bytes;
+    error = read.error;
+  }
+}
+
+void CallerServer::BeginDrain() {
+  this->draining = true;
+  for (Connection* connection : this->connections) {
+    if (connection->request != nullptr) {
+      connection->request->close_after = true;
+    }
+  }
 }
 
 void CallerServer::CloseIdle() {
-  for (Connection* connection : this->idle_connections) {
+  const TimePoint now = this->clock.Now();
+  for (Connection* connection : this->connections) {
+    const bool is_new = !connection->had_request &&
+                        now - connection->accepted_at < kFirstRequestTime;
+    if (is_new || connection->phase != Connection::Phase::kIdle ||
+        PeekSocket(connection->socket) == SocketReadState::kData) {
+      continue;
+    }
     error_code ignored;
     connection->socket.close(ignored);
   }
 }
 
+void CallerServer::RefuseIncomplete() {
+  for (Connection* connection : this->connections) {
+    if (connection->phase == Connection::Phase::kReading) {
+      connection->RefuseRequest(kUnavailable);
+    }
+  }
+}
+
+std::size_t CallerServer::ActiveRequests() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->connections, [](const Connection* connection) {
+        return connection->phase != Connection::Phase::kIdle;
+      }));
+}
+
 }  // namespace pimentospar
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -34,6 +34,7 @@
   /// Listens at `address` if it is free.
   CallerServer(FiberLoop& loop,
                TimerQueue& timers,
+               const Clock& clock,
                const Tcp::endpoint& address,
                CallerHandler handler);
 
@@ -44,12 +45,24 @@
   void Start();
   /// Returns whether callers can connect.
   [[nodiscard]] bool IsListening() const { return this->acceptor.is_open(); }
-  /// Makes every response from now on ask its caller to close the connection.
-  void BeginDrain() { this->draining = true; }
-  /// Closes the connections that are waiting for a request.
+  /// Makes every response whose head is not sent yet ask its caller to close
+  /// the connection.
+  void BeginDrain();
+  /// Closes the connections that wait for a request. A connection on which one
+  /// has just arrived is kept, and so is a new one for a moment.
   void CloseIdle();
-  /// Returns the number of requests that are being handled.
-  [[nodiscard]] std::size_t InFlight() const { return this->in_flight; }
+  /// Stops listening; returns the number of callers that were still waiting to
+  /// be accepted, whose connections are served.
+  std::size_t StopAccepting();
+  /// Refuses the requests of which only a part has arrived.
+  void RefuseIncomplete();
+  /// Returns the number of requests of which a part has arrived and whose
+  /// response is not complete.
+  [[nodiscard]] std::size_t ActiveRequests() const;
+  /// Returns the number of open connections.
+  [[nodiscard]] std::size_t ConnectionCount() const {
+    return this->connections.size();
+  }
   /// Returns the address of the server, with the port that the system chose if
   /// none was given.
   [[nodiscard]] Tcp::endpoint LocalAddress() const { return this->address; }
@@ -62,21 +75,29 @@
   /// Opens the acceptor; leaves it closed on an error.
   [[nodiscard]] error_code Listen();
   void Accept();
-  void Serve(const std::shared_ptr<Connection>& connection);
-  bool ServeNext(Connection& connection);
+  /// Serves the requests of a connection in a fiber of its own.
+  void Serve(std::shared_ptr<Connection> connection);
+  [[nodiscard]] bool ServeNext(Connection& connection);
+  /// Returns whether a request begins before the idle timeout.
+  [[nodiscard]] bool AwaitRequest(Connection& connection);
   [[nodiscard]] error_code ReadRequest(Connection& connection, Parser& parser);
-  bool HandleRequest(Connection& connection, Parser& parser);
-  void RejectMalformed(Connection& connection, const error_code& error);
+  [[nodiscard]] error_code SendContinue(Connection& connection);
+  [[nodiscard]] bool HandleRequest(Connection& connection, Parser& parser);
+  /// Refuses a request that cannot be read completely.
+  void Refuse(Connection& connection, unsigned status);
+  /// Reads what the caller still sends, because closing a socket with unread
+  /// input resets the connection before the caller has read the response.
+  void DiscardInput(Connection& connection);
 
   FiberLoop& loop;
   TimerQueue& timers;
+  const Clock& clock;
   Tcp::endpoint address;
   TcpAcceptor acceptor;
   CallerHandler handler;
   CallerLimits limits;
   bool draining = false;
-  std::size_t in_flight = 0;
-  std::unordered_set<Connection*> idle_connections;
+  std::unordered_set<Connection*> connections;
 };
 
 }  // namespace pimentospar
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -33,8 +33,13 @@
 // A request that arrives later than this after the stop signal might not end
 // before the process is killed.
 constexpr std::chrono::milliseconds kDrainAcceptTime{3000};
+// The same as a share of a short grace time.
+constexpr double kDrainAcceptShare = 0.375;
 // Time reserved for the process to exit before it is killed.
 constexpr std::chrono::milliseconds kExitReserve{700};
+// Part of that time in which the requests that are left get a final response.
+constexpr std::chrono::milliseconds kFinalResponseTime{450};
+constexpr std::chrono::milliseconds kFinalResponsePollInterval{10};
 constexpr std::chrono::milliseconds kDrainPollInterval{50};
 // Short, since no model is loaded between the failure of a lease holder and
 // the expiry of its lease.
@@ -174,16 +179,19 @@
           this->crashes,
           this->rate_limits,
           this->metrics,
+          this->grace_time_ended,
           [this] { return this->routes; },
           [this] { return this->entry_transport.EntryCount(); }},
       caller_server(loop,
                     timers,
+                    clock,
                     settings.caller_address,
                     [this](CallerRequest& request, CallerChannel& channel) {
                       return this->OnCaller(request, channel);
                     }),
       readiness_server(loop,
                        timers,
+                       clock,
                        settings.ready_address,
                        [this](CallerRequest& request, CallerChannel& channel) {
                          return Respond(request, channel,
@@ -192,6 +200,7 @@
                        }),
       operator_server(loop,
                       timers,
+                      clock,
                       settings.operator_address,
                       [this](CallerRequest& request, CallerChannel& channel) {
                         return Respond(request, channel, kOk,
@@ -225,7 +234,8 @@
   this->rate_limits.BeginDrain();
   this->lease.StopAcquiring();
   this->loop.Spawn([this] { this->Unregister(); });
-  LogInfo("drain_started", {{"in_flight", this->caller_server.InFlight()}});
+  LogInfo("drain_started",
+          {{"in_flight", this->caller_server.ActiveRequests()}});
   const Duration limit = this->settings.grace_time - kExitReserve;
   while (this->clock.Now() - start < limit) {
     boost::this_fiber::sleep_for(kDrainPollInterval);
@@ -233,19 +243,38 @@
       continue;
     }
     this->caller_server.CloseIdle();
-    if (this->caller_server.InFlight() == 0) {
+    if (this->caller_server.ConnectionCount() == 0 &&
+        this->caller_server.StopAccepting() == 0) {
       break;
     }
   }
-  LogInfo("drain_ended", {{"in_flight", this->caller_server.InFlight()}});
+  this->EndRequests();
+  LogInfo("drain_ended", {{"in_flight", this->caller_server.ActiveRequests()}});
+}
+
+void Gateway::EndRequests() {
+  if (this->caller_server.ConnectionCount() == 0) {
+    return;
+  }
+  LogWarning("grace_time_ended",
+             {{"in_flight", this->caller_server.ActiveRequests()}});
+  (void)this->caller_server.StopAccepting();
+  this->caller_server.RefuseIncomplete();
+  this->grace_time_ended.NotifyAll();
+  const TimePoint end = this->clock.Now() + kFinalResponseTime;
+  while (this->caller_server.ActiveRequests() > 0 && this->clock.Now() < end) {
+    boost::this_fiber::sleep_for(kFinalResponsePollInterval);
+  }
 }
 
 bool Gateway::OnCaller(CallerRequest& request, CallerChannel& channel) {
   request.close_after = request.close_after || this->draining;
   RequestHandler handler(this->request_dependencies, request, channel);
+  const Duration accept_time = std::min<Duration>(
+      kDrainAcceptTime, std::chrono::duration_cast<Duration>(
+                            this->settings.grace_time * kDrainAcceptShare));
   const bool refuses_all =
-      this->draining &&
-      this->clock.Now() - this->drain_started > kDrainAcceptTime;
+      this->draining && this->clock.Now() - this->drain_started > accept_time;
   return refuses_all ? handler.RefuseDraining() : handler.Run();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/entry_transport.h"
 #include "gateway/keyed_stream_watcher.h"
 #include "gateway/lease_manager.h"
+#include "gateway/listener_list.h"
 #include "gateway/order_dispatcher.h"
 #include "gateway/rate_limit_coordinator.h"
 #include "gateway/registration_feed.h"
@@ -73,7 +74,8 @@
 
   void Start();
   /// Stops accepting requests and returns once the last one is answered, at
-  /// the latest shortly before the grace time ends.
+  /// the latest shortly before the grace time ends. What is left then gets a
+  /// final response, except for streams that have begun.
   void Drain();
 
   [[nodiscard]] bool IsReady() const;
@@ -90,6 +92,7 @@
   [[nodiscard]] const Metrics& GetMetrics() const { return this->metrics; }
 
  private:
+  void EndRequests();
   bool OnCaller(CallerRequest& request, CallerChannel& channel);
   static bool Respond(CallerRequest& request,
                       CallerChannel& channel,
@@ -167,6 +170,7 @@
   RateLimitCoordinator rate_limits;
   OrderDispatcher order_dispatcher;
   StrikeExchange strike_exchange;
+  ListenerList grace_time_ended;
   RequestDependencies request_dependencies;
   CallerServer caller_server;
   CallerServer readiness_server;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -92,6 +92,8 @@
                                    cancel);
   const Subscription causes(this->deps.crashes.CausesChanged(),
                             [this] { this->OnCausesChanged(); });
+  const Subscription grace_time_end(this->deps.grace_time_ended,
+                                    [this] { this->OnGraceTimeEnd(); });
   AttemptStatus attempt_status = AttemptStatus::kNotSent;
   Reason reason = Reason::kNoTarget;
   while (true) {
@@ -127,6 +129,15 @@
   }
 }
 
+void RequestHandler::OnGraceTimeEnd() {
+  this->is_cut_off = true;
+  this->request.close_after = true;
+  this->deadline = std::min(this->deadline, this->deps.clock.Now());
+  if (this->current_exchange != nullptr) {
+    this->current_exchange->Cancel();
+  }
+}
+
 bool RequestHandler::Connect(Attempt& attempt) {
   const std::string& address = attempt.target.address;
   // A copy of an earlier refusal of this request may still arrive on a
@@ -346,6 +357,7 @@
       return AttemptOutcome::kNoValidResponse;
     case AttemptStatus::kUnknown:
       return reason == Reason::kDeadlineExceeded ||
+                     reason == Reason::kDraining ||
                      reason == Reason::kRequestQuarantined
                  ? AttemptOutcome::kCancelled
                  : AttemptOutcome::kNoValidResponse;
@@ -358,6 +370,9 @@
 }
 
 Reason RequestHandler::ReasonOfBreak(Reason by_target) const {
+  if (this->is_cut_off) {
+    return Reason::kDraining;
+  }
   if (this->IsPastDeadline()) {
     return Reason::kDeadlineExceeded;
   }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -36,6 +36,9 @@
   CrashTracker& crashes;
   RateLimitCoordinator& rate_limits;
   Metrics& metrics;
+  /// Called when the process exits soon: what has not ended gets its final
+  /// response now.
+  ListenerList& grace_time_ended;
   /// Returns the current routes, or null before the first configuration.
   std::function<std::shared_ptr<const RouteTable>()> routes;
   /// Returns the number of entries that share the retry budget.
@@ -92,6 +95,7 @@
   [[nodiscard]] bool IsTrial() const;
   /// Cancels the current attempt if it would crash its target.
   void OnCausesChanged();
+  void OnGraceTimeEnd();
   void OnEventInterval(Duration interval);
   /// Returns whether the target of the current attempt has sent an event.
   [[nodiscard]] bool HasTargetBegun() const;
@@ -211,6 +215,7 @@
   std::optional<Duration> shortest_retry_after;
   std::uint32_t retry_after_count = 0;
   bool demand_recorded = false;
+  bool is_cut_off = false;
 };
 
 }  // namespace pimentospar
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -77,6 +77,9 @@
     this->LogOutcome("cut_off", 0, reason);
     return false;
   }
+  if (this->is_cut_off) {
+    reason = Reason::kDraining;
+  }
   const auto error_status = this->forwarder.ErrorStatus();
   if (error_status && attempt_status != AttemptStatus::kUnknown) {
     this->LogOutcome("failed_by_target", *error_status, reason);
--- a/test/gateway/caller_server_test.cc
+++ b/test/gateway/caller_server_test.cc
@@ -24,6 +24,7 @@
   ServerFixture()
       : server(Loop(),
                this->timers,
+               this->clock,
                Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
                [this](CallerRequest&, CallerChannel& channel) {
                  while (this->is_blocked) {
@@ -66,12 +67,12 @@
   fixture.is_blocked = true;
   RawConnection caller(fixture.server.LocalAddress());
   caller.Write(kRequest);
-  BOOST_TEST(Eventually([&] { return fixture.server.InFlight() == 1; }));
+  BOOST_TEST(Eventually([&] { return fixture.server.ActiveRequests() == 1; }));
   fixture.server.BeginDrain();
   fixture.is_blocked = false;
   fixture.unblocked.NotifyAll();
   BOOST_TEST(caller.ReadAll().ends_with("ok"));
-  BOOST_TEST(fixture.server.InFlight() == 0U);
+  BOOST_TEST(fixture.server.ActiveRequests() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(ClosesIdleConnections) {
--- a/test/gateway/fleet.h
+++ b/test/gateway/fleet.h
@@ -71,7 +71,9 @@
     return *all.back();
   }
 
-  Gateway& Start(const std::string& host, double cores) {
+  Gateway& Start(const std::string& host,
+                 double cores,
+                 milliseconds grace_time = milliseconds(8000)) {
     const auto loopback = boost::asio::ip::make_address("127.0.0.1");
     GatewaySettings settings;
     settings.host = HostId(host);
@@ -83,6 +85,7 @@
     settings.entry_address = {loopback, 0};
     settings.processor_cores = cores;
     settings.targets_check_leases = true;
+    settings.grace_time = grace_time;
     this->views.push_back(std::make_unique<CuttableLog>(this->log));
     this->gateways.push_back(std::make_unique<Gateway>(
         Loop(), this->timers, this->pool, this->clock, this->random, settings,
--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -69,6 +69,7 @@
   HandlerFixture()
       : server(Loop(),
                this->timers,
+               this->clock,
                Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
                [this](CallerRequest& request, CallerChannel& channel) {
                  return RequestHandler(this->deps, request, channel).Run();
@@ -84,6 +85,11 @@
     this->server.Start();
   }
 
+  /// Waits for the fibers of the connections, which refer to the server.
+  ~HandlerFixture() {
+    (void)Eventually([this] { return this->server.ConnectionCount() == 0; });
+  }
+
   void AddTarget(const std::string& name, const ScriptedTarget& target) {
     TargetDescription description;
     description.id = TargetId(name);
@@ -133,6 +139,7 @@
   RateLimitCoordinator rate_limits{Loop(), clock, random, transport,
                                    HostId("h")};
   std::shared_ptr<const RouteTable> table;
+  ListenerList grace_time_ended;
   RequestDependencies deps{clock,
                            random,
                            timers,
@@ -146,6 +153,7 @@
                            crashes,
                            rate_limits,
                            metrics,
+                           grace_time_ended,
                            [this] { return this->table; },
                            [] { return std::size_t{1}; }};
   CallerServer server;
--- a/test/gateway/request_handler_stream_test.cc
+++ b/test/gateway/request_handler_stream_test.cc
@@ -324,7 +324,7 @@
   BOOST_TEST(caller.ReadUntil(Event(1)));
   caller.Close();
   BOOST_TEST(Eventually([&] { return target.EndedConnections() == 1; }));
-  BOOST_TEST(Eventually([&] { return this->server.InFlight() == 0; }));
+  BOOST_TEST(Eventually([&] { return this->server.ActiveRequests() == 0; }));
 }
 
 // Strikes of another entry arrive while a request with their part is in flight.
