Show that a head which breaks off never becomes a success

Told by another operator: a target stopped in the middle of its response's head and closed, and callers got a 200 with an empty or short body, framed as whole. It does not happen here: a head cut after each of its bytes, of a response with a length, one that ends with its connection, and a stream, becomes 502 each time. The test passes without a change.

--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -480,6 +480,39 @@
   BOOST_TEST(reset.starts_with("HTTP/1.1 502"), reset);
 }
 
+// A target stops inside the head of its response and closes the connection. Its
+// caller must not get a success with an empty or a short body.
+BOOST_FIXTURE_TEST_CASE(HeadThatBreaksOffBecomesASuccess, Fixture) {
+  struct Form {
+    std::string_view path;
+    std::string head;
+  };
+  const std::string start =
+      "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: r1\r\n" +
+      std::string(kStamp);
+  const std::vector<Form> forms = {
+      {"/unsafe/1", start + "Content-Length: 20\r\n\r\n"},
+      {"/unsafe/1", start + "Connection: close\r\n\r\n"},
+      {"/once/1", start + "Content-Type: text/event-stream\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n"}};
+  std::size_t length = 0;
+  const std::string* head = nullptr;
+  ScriptedTarget target([&](RawConnection& connection, const std::string&) {
+    connection.Write(head->substr(0, length));
+    return false;
+  });
+  this->AddTarget("t", target);
+  for (const Form& form : forms) {
+    head = &form.head;
+    for (length = 0; length < head->size(); ++length) {
+      const std::string response =
+          this->Send("POST " + std::string(form.path), "", "x");
+      BOOST_TEST(response.starts_with("HTTP/1.1 502"),
+                 std::to_string(length) + " bytes: " + response);
+    }
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(ForwardsAnErrorResponseUnchanged, Fixture) {
   ScriptedTarget target(
       [](RawConnection& connection, const std::string& request) {
