Limit the bodies of all requests together

Cause: a limit on each body and none on all of them. Change: 64 MB for all, counted from the first byte to the end of the response; a request beyond that gets 503 while it is being read.

caller_server_test BodiesOfManyCallersExceedTheMemory failed before (0 of 40 refused) and passes now.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -34,6 +34,9 @@
 constexpr std::chrono::milliseconds kDiscardTime{1000};
 constexpr std::size_t kMaxDiscardedBytes = 1UL << 20;
 constexpr std::size_t kDiscardBufferBytes = 4096;
+// Limit on the bodies of all requests together. Hosts have some 200 MB, which
+// the bodies of responses, buffers and fibers share.
+constexpr std::size_t kMaxBodyBytes = 64UL << 20;
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kUnavailable = 503;
 
@@ -82,7 +85,8 @@
       clock(clock),
       address(address),
       acceptor(loop.Context()),
-      handler(std::move(handler)) {
+      handler(std::move(handler)),
+      bodies(kMaxBodyBytes) {
   // A failure is logged when the server starts.
   (void)this->Listen();
 }
@@ -196,7 +200,9 @@
       .error;
 }
 
-error_code CallerServer::ReadRequest(Connection& connection, Parser& parser) {
+error_code CallerServer::ReadRequest(Connection& connection,
+                                     Parser& parser,
+                                     BufferReservation& reservation) {
   const auto on_timeout = [&connection] {
     connection.RefuseRequest(kRequestTimeout);
   };
@@ -229,11 +235,29 @@
   if (connection.refusal) {
     return boost::asio::error::operation_aborted;
   }
-  return Await([&](auto handler) {
-           http::async_read(connection.socket, connection.buffer, parser,
+  return this->ReadBody(connection, parser, reservation);
+}
+
+error_code CallerServer::ReadBody(Connection& connection,
+                                  Parser& parser,
+                                  BufferReservation& reservation) {
+  parser.eager(true);
+  while (!parser.is_done()) {
+    const IoResult read = Await([&](auto handler) {
+      http::async_read_some(connection.socket, connection.buffer, parser,
                             std::move(handler));
-         })
-      .error;
+    });
+    if (!read.IsGood()) {
+      return read.error;
+    }
+    if (!reservation.GrowTo(parser.get().body().size())) {
+      LogWarning("bodies_too_large", {{"bytes", parser.get().body().size()},
+                                      {"all", this->bodies.Reserved()}});
+      connection.refusal = kUnavailable;
+      return boost::asio::error::no_memory;
+    }
+  }
+  return {};
 }
 
 bool CallerServer::ServeNext(Connection& connection) {
@@ -250,7 +274,8 @@
   connection.buffer.max_size(
       std::max(connection.buffer.size(),
                this->limits.max_header_bytes + kMaxUnparsedBytes));
-  const error_code error = this->ReadRequest(connection, parser);
+  BufferReservation reservation(this->bodies);
+  const error_code error = this->ReadRequest(connection, parser, reservation);
   if (!error) {
     return this->HandleRequest(connection, parser);
   }
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <unordered_set>
 
+#include "gateway/buffer_budget.h"
 #include "gateway/caller_channel.h"
 #include "gateway/fiber_loop.h"
 #include "pimentospar/routing/route_table.h"
@@ -80,7 +81,12 @@
   [[nodiscard]] bool ServeNext(Connection& connection);
   /// Returns whether a request begins before the idle timeout.
   [[nodiscard]] bool AwaitRequest(Connection& connection);
-  [[nodiscard]] error_code ReadRequest(Connection& connection, Parser& parser);
+  [[nodiscard]] error_code ReadRequest(Connection& connection,
+                                       Parser& parser,
+                                       BufferReservation& reservation);
+  [[nodiscard]] error_code ReadBody(Connection& connection,
+                                    Parser& parser,
+                                    BufferReservation& reservation);
   [[nodiscard]] error_code SendContinue(Connection& connection);
   [[nodiscard]] bool HandleRequest(Connection& connection, Parser& parser);
   /// Refuses a request that cannot be read completely.
@@ -96,6 +102,7 @@
   TcpAcceptor acceptor;
   CallerHandler handler;
   CallerLimits limits;
+  BufferBudget bodies;
   bool draining = false;
   std::unordered_set<Connection*> connections;
 };
--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -138,17 +138,16 @@
         bool is_head_request)
       : pool(pool),
         buffers(std::move(buffers)),
+        reservation(*this->buffers),
         connection(std::move(connection)),
         is_head_request(is_head_request),
         is_reused(this->connection->used) {
     this->parser.emplace();
     this->connection->used = true;
   }
-  ~State() { this->buffers->Release(this->buffered_bytes); }
-
   UpstreamPool& pool;
   std::shared_ptr<BufferBudget> buffers;
-  std::size_t buffered_bytes = 0;
+  BufferReservation reservation;
   std::unique_ptr<UpstreamConnection> connection;
   bool is_head_request;
   bool is_reused;
@@ -273,13 +272,12 @@
   BodyReadResult part = this->ReadBody(data);
   while (part == BodyReadResult::kData) {
     if (rest.size() + data.size() > state.pool.options.max_buffered_body ||
-        !state.buffers->TryReserve(data.size())) {
+        !state.reservation.GrowTo(rest.size() + data.size())) {
       LogWarning("body_too_large", {{"address", state.connection->address},
                                     {"bytes", rest.size()},
                                     {"all", state.buffers->Reserved()}});
       return std::nullopt;
     }
-    state.buffered_bytes += data.size();
     rest += data;
     part = this->ReadBody(data);
   }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "gateway/buffer_budget.h"
 #include "gateway/fiber_loop.h"
 #include "gateway/timer_queue.h"
 #include "net/read_limits.h"
@@ -53,27 +54,6 @@
   std::size_t max_framing_bytes = 8ULL << 20;
 };
 
-/// Counts the bytes of all bodies that are kept in memory.
-class BufferBudget {
- public:
-  explicit BufferBudget(std::size_t limit) : limit(limit) {}
-
-  /// Returns false, and reserves nothing, if the limit would be exceeded.
-  [[nodiscard]] bool TryReserve(std::size_t bytes) {
-    if (bytes > this->limit - this->reserved) {
-      return false;
-    }
-    this->reserved += bytes;
-    return true;
-  }
-  void Release(std::size_t bytes) { this->reserved -= bytes; }
-  [[nodiscard]] std::size_t Reserved() const { return this->reserved; }
-
- private:
-  std::size_t limit;
-  std::size_t reserved = 0;
-};
-
 /// Connects to peers and keeps idle connections by address.
 class UpstreamPool {
  public:
--- a/test/gateway/caller_server_test.cc
+++ b/test/gateway/caller_server_test.cc
@@ -122,6 +122,46 @@
   }
 }
 
+// Many callers send large bodies and hold back the last byte. Nothing limited
+// the memory of all of them together, and the process was killed.
+BOOST_AUTO_TEST_CASE(BodiesOfManyCallersExceedTheMemory) {
+  ServerFixture& fixture = ServerFixture::Create();
+  constexpr std::size_t kBodyBytes = 4UL << 20;
+  constexpr std::size_t kCallers = 40;
+  CallerLimits limits;
+  limits.max_body_bytes = kBodyBytes;
+  fixture.server.SetLimits(limits);
+  const std::string head =
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kBodyBytes) +
+      "\r\n\r\n";
+  std::vector<std::unique_ptr<RawConnection>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(
+        std::make_unique<RawConnection>(fixture.server.LocalAddress()));
+    callers.back()->Write(head + std::string(kBodyBytes - 1, 'x'));
+  }
+  std::size_t served = 0;
+  std::size_t refused = 0;
+  for (const auto& caller : callers) {
+    caller->Write("x");
+    if (!caller->IsOpen()) {
+      ++refused;
+      continue;
+    }
+    (void)caller->ReadUntil("\r\n\r\n");
+    served += caller->text.starts_with("HTTP/1.1 200") ? 1 : 0;
+    refused += caller->text.starts_with("HTTP/1.1 503") ? 1 : 0;
+  }
+  // 64 MB for all bodies; those of served requests make room for others.
+  BOOST_TEST(served >= 15U);
+  BOOST_TEST(refused >= 20U);
+  BOOST_TEST(served + refused == kCallers);
+  callers.clear();
+  RawConnection next(fixture.server.LocalAddress());
+  next.Write(kRequest);
+  BOOST_TEST(next.ReadUntil("ok"));
+}
+
 // A log reader that stops reading must not block the program. Lines that do not
 // fit are dropped, and their number is logged when the reader resumes.
 BOOST_AUTO_TEST_CASE(LogNeverBlocksOnItsReader) {
