Tell callers that send too slowly why their request ends

A caller that sent its head or its body too slowly met a closed connection without an answer; it gets 408 since the drain was reworked, and this is its test (SlowRequestGetsNoAnswer, 100 ms instead of the site's 3 s and 15 s).

The time limit now ends the reading again and again until it has ended, since a read that completes at the same moment is followed by another one; and the drain refuses requests that are being read until none is left.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds kIdleTimeoutMargin{1000};
 // A caller that has just connected sends its request within this time.
 constexpr std::chrono::milliseconds kFirstRequestTime{250};
+// How often the reading of a refused request is ended until it has ended.
+constexpr std::chrono::milliseconds kRefusalInterval{100};
 // Input of a refused caller is read for this time, and up to this size.
 constexpr std::chrono::milliseconds kDiscardTime{1000};
 constexpr std::size_t kMaxDiscardedBytes = 1UL << 20;
@@ -203,12 +205,15 @@
 error_code CallerServer::ReadRequest(Connection& connection,
                                      Parser& parser,
                                      BufferReservation& reservation) {
+  // Repeated, since a read that completes at the same moment is followed by
+  // another one.
   const auto on_timeout = [&connection] {
     connection.RefuseRequest(kRequestTimeout);
+    return false;
   };
   {
-    const ScopedTimer timeout(this->timers, this->limits.header_timeout,
-                              on_timeout);
+    const RepeatingTimer timeout(this->timers, this->limits.header_timeout,
+                                 kRefusalInterval, on_timeout);
     const IoResult head = Await([&](auto handler) {
       http::async_read_header(connection.socket, connection.buffer, parser,
                               std::move(handler));
@@ -223,18 +228,14 @@
   if (parser.is_done()) {
     return {};
   }
-  const ScopedTimer timeout(this->timers, this->limits.idle_timeout,
-                            on_timeout);
+  const RepeatingTimer timeout(this->timers, this->limits.idle_timeout,
+                               kRefusalInterval, on_timeout);
   if (boost::beast::iequals(parser.get()[http::field::expect],
                             "100-continue")) {
     if (const error_code error = this->SendContinue(connection)) {
       return error;
     }
   }
-  // The request may have been refused while its head was taken.
-  if (connection.refusal) {
-    return boost::asio::error::operation_aborted;
-  }
   return this->ReadBody(connection, parser, reservation);
 }
 
@@ -243,6 +244,9 @@
                                   BufferReservation& reservation) {
   parser.eager(true);
   while (!parser.is_done()) {
+    if (connection.refusal) {
+      return boost::asio::error::operation_aborted;
+    }
     const IoResult read = Await([&](auto handler) {
       http::async_read_some(connection.socket, connection.buffer, parser,
                             std::move(handler));
@@ -267,6 +271,7 @@
   }
   connection.phase = Connection::Phase::kReading;
   connection.had_request = true;
+  connection.refusal.reset();
   Parser parser;
   parser.header_limit(this->limits.max_header_bytes);
   parser.body_limit(this->limits.max_body_bytes);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -259,10 +259,10 @@
   LogWarning("grace_time_ended",
              {{"in_flight", this->caller_server.ActiveRequests()}});
   (void)this->caller_server.StopAccepting();
-  this->caller_server.RefuseIncomplete();
   this->grace_time_ended.NotifyAll();
   const TimePoint end = this->clock.Now() + kFinalResponseTime;
   while (this->caller_server.ActiveRequests() > 0 && this->clock.Now() < end) {
+    this->caller_server.RefuseIncomplete();
     boost::this_fiber::sleep_for(kFinalResponsePollInterval);
   }
 }
--- a/test/gateway/caller_server_test.cc
+++ b/test/gateway/caller_server_test.cc
@@ -101,6 +101,22 @@
   BOOST_TEST(body.ReadAll().starts_with("HTTP/1.1 413"));
 }
 
+// A caller that sends its head or its body too slowly met a closed connection.
+BOOST_AUTO_TEST_CASE(SlowRequestGetsNoAnswer) {
+  ServerFixture& fixture = ServerFixture::Create();
+  CallerLimits limits;
+  limits.header_timeout = std::chrono::milliseconds(100);
+  limits.idle_timeout = std::chrono::milliseconds(100);
+  fixture.server.SetLimits(limits);
+  for (const std::string_view part :
+       {"POST / HTTP/1.1\r\nHost",
+        "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nx"}) {
+    RawConnection caller(fixture.server.LocalAddress());
+    caller.Write(part);
+    BOOST_TEST(caller.ReadAll().starts_with("HTTP/1.1 408"), caller.text);
+  }
+}
+
 // The line with the size of a chunk, or a trailer field, of a request never
 // ends. The server kept all bytes of it.
 BOOST_AUTO_TEST_CASE(EndsEndlessFramingOfARequest) {
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -89,8 +89,10 @@
     RawConnection caller(this->server.LocalAddress());
     caller.Write(
         "POST /unsafe/1 HTTP/1.1\r\nHost: a.example\r\n"
-        "X-Pimentospar-Request-Id: r0\r\n" +
-        headers + "\r\n" + hidden);
+        "X-Pimentospar-Request-Id: r0\r\n");
+    caller.Write(headers);
+    caller.Write("\r\n");
+    caller.Write(hidden);
     const std::string& response = caller.ReadAll();
     BOOST_TEST(response.starts_with("HTTP/1.1 400"), headers + response);
     BOOST_TEST(Count(response, "HTTP/1.1") == 1U, headers + response);
