--- a/support/setup.sh
+++ b/support/setup.sh
@@ -6,7 +6,7 @@
   g++ make cmake ninja-build ccache clang-format clang-tidy
   libboost1.81-dev libboost-fiber1.81-dev libboost-context1.81-dev
   libboost-json1.81-dev libboost-test1.81-dev
-  libcapnp-dev capnproto libpopt-dev libspdlog-dev libtomlplusplus-dev
+  libcapnp-dev capnproto libpopt-dev libspdlog-dev libfmt-dev libtomlplusplus-dev
   libxxhash-dev libssl-dev librapidcheck-dev nlohmann-json3-dev spin curl
 )
 
