--- a/include/pimentospar/fingerprint.h
+++ b/include/pimentospar/fingerprint.h
@@ -2,6 +2,7 @@
 #define INCLUDE_PIMENTOSPAR_FINGERPRINT_H_
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,11 @@
 /// besides.
 [[nodiscard]] Fingerprint FingerprintOfPromptPart(std::string_view part_id);
 
+/// Returns a fingerprint in hexadecimal, as log lines show it.
+[[nodiscard]] std::string ToHex(Fingerprint fingerprint);
+/// Returns fingerprints in hexadecimal, separated by commas.
+[[nodiscard]] std::string JoinHex(std::span<const Fingerprint> fingerprints);
+
 /// By what an HTTP request is known when it is sent again.
 struct HttpRequestIdentity {
   std::string_view method;
--- a/src/fingerprint.cc
+++ b/src/fingerprint.cc
@@ -1,7 +1,9 @@
 #include "pimentospar/fingerprint.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/json.hpp>
+#include <charconv>
 #include <initializer_list>
 #include <vector>
 
@@ -95,6 +97,22 @@
   return Fingerprint{Hash64(text)};
 }
 
+std::string ToHex(Fingerprint fingerprint) {
+  std::array<char, 16> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                 fingerprint.value, 16);
+  return {digits.data(), end.ptr};
+}
+
+std::string JoinHex(std::span<const Fingerprint> fingerprints) {
+  std::string text;
+  for (const Fingerprint fingerprint : fingerprints) {
+    text += text.empty() ? "" : ",";
+    text += ToHex(fingerprint);
+  }
+  return text;
+}
+
 Fingerprint FingerprintOfRequest(const HttpRequestIdentity& request) {
   std::string text;
   for (const std::string_view part :
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "net/log_line.h"
+#include "pimentospar/fingerprint.h"
 
 namespace pimentospar {
 
@@ -18,6 +19,8 @@
 // broken connections take to be noticed.
 constexpr std::chrono::seconds kCrashMemory{10};
 constexpr std::chrono::seconds kCheckWait{1};
+// Fewer strikes are cleared with each request that ran beside a crash.
+constexpr std::uint32_t kLoggedStrikes = 2;
 
 QuarantineOptions MakeQuarantineOptions() {
   QuarantineOptions options;
@@ -109,13 +112,41 @@
 void CrashTracker::OnSurvived(std::span<const Fingerprint> fingerprints) {
   const std::uint64_t before = this->quarantine.Version();
   for (const Fingerprint fingerprint : fingerprints) {
-    this->quarantine.OnCompleted(fingerprint);
+    this->RecordCompletion(fingerprint, "response");
   }
   if (this->quarantine.Version() != before) {
     this->OnStrikesChanged();
   }
 }
 
+void CrashTracker::OnCauseRemoved(Fingerprint fingerprint) {
+  const std::uint64_t before = this->quarantine.Version();
+  this->RecordCompletion(fingerprint, "log_record");
+  if (this->quarantine.Version() != before) {
+    this->OnStrikesChanged();
+  }
+}
+
+void CrashTracker::RecordCompletion(Fingerprint fingerprint,
+                                    std::string_view source) {
+  const std::uint32_t strikes = this->quarantine.StrikeCount(fingerprint);
+  this->quarantine.OnCompleted(fingerprint);
+  if (strikes >= kLoggedStrikes) {
+    LogInfo("strikes_cleared", {{"fingerprint", ToHex(fingerprint)},
+                                {"strikes", strikes},
+                                {"source", source}});
+  }
+}
+
+std::uint32_t CrashTracker::StrikeCount(
+    std::span<const Fingerprint> fingerprints) const {
+  std::uint32_t most = 0;
+  for (const Fingerprint fingerprint : fingerprints) {
+    most = std::max(most, this->quarantine.StrikeCount(fingerprint));
+  }
+  return most;
+}
+
 void CrashTracker::Import(std::span<const StrikeReport> reports) {
   const std::uint64_t before = this->quarantine.Version();
   this->quarantine.Import(reports);
@@ -138,16 +169,24 @@
     if (std::ranges::find(this->refused, cause.fingerprints.front()) ==
         this->refused.end()) {
       LogWarning("quarantined",
-                 {{"fingerprint", cause.fingerprints.front().value},
-                  {"indistinguishable", cause.fingerprints.size() - 1},
+                 {{"fingerprints", JoinHex(cause.fingerprints)},
                   {"strikes", cause.strikes},
                   {"last_crash_ms", this->clock.Now() - cause.last_crash}});
     }
   }
-  if (now_refused.empty() && !this->refused.empty()) {
-    LogInfo("quarantine_ended");
-  }
+  this->LogEndedCauses(now_refused);
   this->refused = std::move(now_refused);
 }
 
+void CrashTracker::LogEndedCauses(
+    std::span<const Fingerprint> now_refused) const {
+  for (const Fingerprint fingerprint : this->refused) {
+    if (std::ranges::find(now_refused, fingerprint) == now_refused.end()) {
+      LogInfo("quarantine_ended",
+              {{"fingerprint", ToHex(fingerprint)},
+               {"strikes", this->quarantine.StrikeCount(fingerprint)}});
+    }
+  }
+}
+
 }  // namespace pimentospar
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -38,9 +39,15 @@
       std::span<const Fingerprint> fingerprints);
   /// A target has survived a request.
   void OnSurvived(std::span<const Fingerprint> fingerprints);
+  /// The log no longer holds this cause: its requests run again.
+  void OnCauseRemoved(Fingerprint fingerprint);
 
   /// Merges strikes of other entries.
   void Import(std::span<const StrikeReport> reports);
+  /// Returns the strikes against a request: the most that any of its
+  /// fingerprints has.
+  [[nodiscard]] std::uint32_t StrikeCount(
+      std::span<const Fingerprint> fingerprints) const;
   /// Returns the strikes that this entry observed or received.
   [[nodiscard]] const Quarantine& Strikes() const { return this->quarantine; }
   /// Returns whether this entry has seen a crash with the fingerprint in
@@ -64,8 +71,10 @@
 
   [[nodiscard]] bool HasCrashed(const SelectedTarget& target, CrashId crash);
   void DropOldChecks();
+  void RecordCompletion(Fingerprint fingerprint, std::string_view source);
   void OnStrikesChanged();
   void LogNewCauses();
+  void LogEndedCauses(std::span<const Fingerprint> now_refused) const;
 
   const Clock& clock;
   UpstreamPool& pool;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -191,6 +191,8 @@
   const RouteSpec* route = nullptr;
   ServiceId service;
   RequestMeta meta;
+  /// Fingerprint of the request without its prompt.
+  Fingerprint call;
   TimePoint received_at;
   TimePoint deadline;
   std::shared_ptr<const std::string> body;
--- a/src/gateway/request_handler_crash.cc
+++ b/src/gateway/request_handler_crash.cc
@@ -16,9 +16,12 @@
 
 void RequestHandler::IdentifyRequest() {
   const auto& message = this->request.message;
-  this->meta.fingerprints.push_back(FingerprintOfRequest(
-      {message.method_string(), message[boost::beast::http::field::host],
-       message.target(), this->meta.prompt_hash, *this->body}));
+  HttpRequestIdentity identity{message.method_string(),
+                               message[boost::beast::http::field::host],
+                               message.target(), 0, *this->body};
+  this->call = FingerprintOfRequest(identity);
+  identity.prompt_hash = this->meta.prompt_hash;
+  this->meta.fingerprints.push_back(FingerprintOfRequest(identity));
 }
 
 bool RequestHandler::IsQuarantined() {
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -1,11 +1,9 @@
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <cstdlib>
-#include <span>
 
 #include "gateway/request_handler.h"
 #include "net/log_line.h"
+#include "pimentospar/fingerprint.h"
 
 // The final response to the caller, and the log record of the request.
 namespace pimentospar {
@@ -34,21 +32,6 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 
-// Returns the fingerprints in hexadecimal, separated by commas.
-std::string JoinFingerprints(std::span<const Fingerprint> fingerprints) {
-  std::string text;
-  for (const Fingerprint fingerprint : fingerprints) {
-    if (!text.empty()) {
-      text += ',';
-    }
-    std::array<char, 16> digits{};
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
-                                   fingerprint.value, 16);
-    text.append(digits.data(), end.ptr);
-  }
-  return text;
-}
-
 }  // namespace
 
 bool RequestHandler::RefuseNotReady() {
@@ -177,7 +160,9 @@
            {"sent_ms", was_sent ? this->deps.clock.Now() - this->last_sent_at
                                 : Duration(0)},
            {"events", this->forwarder.EventCount() - attempt.earlier_events},
-           {"parts", JoinFingerprints(this->meta.fingerprints)},
+           {"parts", JoinHex(this->meta.fingerprints)},
+           {"call", ToHex(this->call)},
+           {"strikes", this->deps.crashes.StrikeCount(this->meta.fingerprints)},
            {"expected_ms", attempt.target.expected_ttfb},
            {"left_ms", this->RemainingTime()},
            {"config", this->table->Config().version.value}});
@@ -244,7 +229,9 @@
            {"service", this->service.value},
            {"model", PrefixScope(this->meta.copy).value},
            {"target", this->last_target.value},
-           {"parts", JoinFingerprints(this->meta.fingerprints)},
+           {"parts", JoinHex(this->meta.fingerprints)},
+           {"call", ToHex(this->call)},
+           {"strikes", this->deps.crashes.StrikeCount(this->meta.fingerprints)},
            {"sends", this->send_count},
            {"runs", this->run_count},
            {"ms", took},
--- a/src/gateway/strike_exchange.cc
+++ b/src/gateway/strike_exchange.cc
@@ -148,7 +148,7 @@
   if (!item.value) {
     this->published.erase(item.key);
     if (const auto fingerprint = FingerprintOfKey(item.key)) {
-      this->crashes.OnSurvived({&*fingerprint, 1});
+      this->crashes.OnCauseRemoved(*fingerprint);
     }
     return;
   }
