--- a/test/gateway/fragile_fleet.h
+++ b/test/gateway/fragile_fleet.h
@@ -35,8 +35,36 @@
          "text/event-stream\r\n\r\n";
 }
 
+/// A header that makes a request deadly. The gateway does not know it, so that
+/// it has to recognise the request by what else it holds.
+constexpr std::string_view kDeadlyHeader = "X-Deadly: 1\r\n";
+
+/// A stream that a caller asks for.
+struct StreamRequest {
+  std::string path;
+  std::string prompt;
+  std::string host = "a.example";
+  /// Further header lines, each with its end.
+  std::string headers;
+  std::string body;
+  bool chunked = false;
+};
+
+/// Returns the end of the head of a request, and its body.
+inline std::string FramedBody(const StreamRequest& request) {
+  if (!request.chunked) {
+    return "Content-Length: " + std::to_string(request.body.size()) +
+           "\r\n\r\n" + request.body;
+  }
+  std::string text = "Transfer-Encoding: chunked\r\n\r\n";
+  for (const char byte : request.body) {
+    text += std::string("1\r\n") + byte + "\r\n";
+  }
+  return text + "0\r\n\r\n";
+}
+
 /// A target that crashes when it begins to respond to a request with the deadly
-/// part.
+/// part or header.
 class FragileTarget {
  public:
   void Crash() {
@@ -45,13 +73,17 @@
   }
   [[nodiscard]] std::string Address() const { return this->target.Address(); }
   [[nodiscard]] bool HasCrashed() const { return this->crashed; }
+  /// Makes the target respond to all requests, or crash again by deadly ones.
+  void SetSound(bool is_sound) { this->sound = is_sound; }
 
  private:
   bool Respond(RawConnection& connection, const std::string& request) {
     if (this->crashed) {
       return false;
     }
-    if (Contains(request, kDeadlyPart)) {
+    const bool is_deadly =
+        Contains(request, kDeadlyPart) || Contains(request, kDeadlyHeader);
+    if (is_deadly && !this->sound) {
       // Ends inside an event of a response without a length, or short of the
       // length of a response that has one.
       const std::string id = RequestIdOf(request);
@@ -66,6 +98,7 @@
   }
 
   bool crashed = false;
+  bool sound = false;
   ScriptedTarget target{
       [this](RawConnection& connection, const std::string& request) {
         return this->Respond(connection, request);
@@ -108,6 +141,12 @@
     boost::this_fiber::sleep_for(milliseconds(1500));
   }
 
+  void SetSound(bool is_sound) {
+    for (FragileTarget* target : this->targets) {
+      target->SetSound(is_sound);
+    }
+  }
+
   void CrashTarget(std::size_t target) { this->targets.at(target)->Crash(); }
 
   /// Sends a request with its own path and last part, and returns the response.
@@ -121,14 +160,18 @@
   std::string SendStream(std::size_t entry,
                          const std::string& path,
                          const std::string& prompt) {
+    return this->SendStream(entry, {path, prompt});
+  }
+
+  /// Sends a request and returns the response.
+  std::string SendStream(std::size_t entry, const StreamRequest& request) {
     RawConnection caller(this->fleet.gateways.at(entry)->CallerAddress());
-    caller.Write("POST " + path +
-                 " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
-                 "X-Pimentospar-Request-Id: " +
+    caller.Write("POST " + request.path + " HTTP/1.1\r\nHost: " + request.host +
+                 "\r\nConnection: close\r\n" + "X-Pimentospar-Request-Id: " +
                  std::to_string(++this->requests) +
-                 "\r\nX-Pimentospar-Prompt-Prefix: " + prompt +
-                 "\r\nX-Pimentospar-Deadline-Ms: 4000\r\n"
-                 "Content-Length: 0\r\n\r\n");
+                 "\r\nX-Pimentospar-Prompt-Prefix: " + request.prompt +
+                 "\r\nX-Pimentospar-Deadline-Ms: 4000\r\n" + request.headers +
+                 FramedBody(request));
     return caller.ReadAll();
   }
 
