Recognise a request that crashes targets by method, host, path and body

What callers saw: target after target crashed by one request, and the requests beside it were broken off. The fingerprint took in the prompt too, with its token counts, the query and the spelling of the host, so that a send that differed in one of them was another request, and the count began anew each time. Class: what recognises something again must take in what its definition names, and nothing else. Change: three fingerprints for a request, from the general to the specific: method, host as the route spells it, path and body; these, the query and the shared parts of the prompt; these and the last part. The narrower ones serve where sound requests complete with the same path and body and so clear the first one. The limits on remembered fingerprints and on strikes for each message are twice as large, since a request has more of them. Evidence: unrecognised_repeat_test failed in (6 cases, 12 of 12 targets crashed) and passes, as do repeated_request_test, crashing_request_test, quarantine_test and fingerprint_test.

--- a/include/pimentospar/fingerprint.h
+++ b/include/pimentospar/fingerprint.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "pimentospar/types.h"
 
@@ -33,20 +34,26 @@
 /// Returns fingerprints in hexadecimal, separated by commas.
 [[nodiscard]] std::string JoinHex(std::span<const Fingerprint> fingerprints);
 
-/// By what an HTTP request is known when it is sent again.
-struct HttpRequestIdentity {
+/// What an HTTP request holds that may be the same when it is sent again.
+struct HttpRequestContent {
   std::string_view method;
+  /// Name of the host as its route spells it, without a port.
   std::string_view host;
   /// Path and query string.
   std::string_view target;
-  /// Hash of the whole prompt if it is not in the body, else 0.
-  std::uint64_t prompt_hash = 0;
   std::string_view body;
+  /// Fingerprints of the parts of its prompt, in order; the last one may be new
+  /// each time.
+  std::span<const Fingerprint> prompt_parts;
 };
 
-/// Returns the fingerprint of one HTTP request.
-[[nodiscard]] Fingerprint FingerprintOfRequest(
-    const HttpRequestIdentity& request);
+/// Returns the fingerprints by which an HTTP request is known when it is sent
+/// again, the most specific one last. The first covers method, host, path and
+/// body; the next ones add the query and the shared parts of the prompt, and
+/// then its last part, if there are such. Other requests may have the first
+/// ones and complete.
+[[nodiscard]] std::vector<Fingerprint> FingerprintsOfRequest(
+    const HttpRequestContent& content);
 
 }  // namespace pimentospar
 
--- a/src/fingerprint.cc
+++ b/src/fingerprint.cc
@@ -63,6 +63,11 @@
   return Fingerprint{Hash64(text)};
 }
 
+// Returns the fingerprint of what has another fingerprint and holds `more`.
+Fingerprint Narrow(Fingerprint fingerprint, std::string_view more) {
+  return Fingerprint{Hash64(more, fingerprint.value)};
+}
+
 }  // namespace
 
 std::string CanonicalBody(std::string_view body) {
@@ -113,14 +118,32 @@
   return text;
 }
 
-Fingerprint FingerprintOfRequest(const HttpRequestIdentity& request) {
-  std::string text;
+std::vector<Fingerprint> FingerprintsOfRequest(
+    const HttpRequestContent& content) {
+  const auto query_at =
+      std::min(content.target.find('?'), content.target.size());
+  const std::string_view query = content.target.substr(query_at);
+  std::string call;
   for (const std::string_view part :
-       {std::string_view("http"), request.method, request.host, request.target,
-        request.body}) {
-    AppendWithLength(part, text);
+       {std::string_view("http"), content.method, content.host,
+        content.target.substr(0, query_at), content.body}) {
+    AppendWithLength(part, call);
+  }
+  std::vector<Fingerprint> fingerprints = {{Hash64(call)}};
+  const auto& parts = content.prompt_parts;
+  const auto shared = parts.first(parts.empty() ? 0 : parts.size() - 1);
+  if (!query.empty() || !shared.empty()) {
+    std::string context(query);
+    for (const Fingerprint part : shared) {
+      AppendWithLength(std::to_string(part.value), context);
+    }
+    fingerprints.push_back(Narrow(fingerprints.back(), context));
+  }
+  if (!parts.empty()) {
+    fingerprints.push_back(
+        Narrow(fingerprints.back(), std::to_string(parts.back().value)));
   }
-  return Fingerprint{Hash64(text, request.prompt_hash)};
+  return fingerprints;
 }
 
 }  // namespace pimentospar
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxFingerprints = 1024;
+constexpr std::size_t kMaxFingerprints = 2048;
 // Targets that end within this time of each other failed together, as with
 // their power or network.
 constexpr std::chrono::milliseconds kCommonFailureTime{300};
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -27,11 +27,9 @@
   /// Prefixes of the prompt that other requests may share, shortest first. The
   /// last block of the prompt is specific to this request and is left out.
   std::vector<PrefixBlock> prefix;
-  /// Hash of the whole prompt; 0 if the headers name none.
-  std::uint64_t prompt_hash = 0;
-  /// What crashes of targets may be attributed to: the parts that these
-  /// prefixes consist of, each on its own, and the request as a whole.
-  std::vector<Fingerprint> fingerprints;
+  /// Fingerprints of all parts of the prompt, in order and each on its own,
+  /// whatever the number of its tokens.
+  std::vector<Fingerprint> prompt_parts;
   /// The last event that the caller has already received.
   std::optional<std::uint64_t> last_event;
 };
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -87,8 +87,7 @@
   };
 
   [[nodiscard]] bool FindRoute();
-  /// Adds the fingerprint of the whole request, by which it is known when it is
-  /// sent again: others may complete with all of its shared parts.
+  /// Sets the fingerprints by which the request is known when it is sent again.
   void IdentifyRequest();
   /// Returns whether the request is refused because it would crash its target.
   [[nodiscard]] bool IsQuarantined();
@@ -191,8 +190,9 @@
   const RouteSpec* route = nullptr;
   ServiceId service;
   RequestMeta meta;
-  /// Fingerprint of the request without its prompt.
-  Fingerprint call;
+  /// What crashes of targets may be attributed to: the shared parts of the
+  /// prompt, and the request, the most specific fingerprint last.
+  std::vector<Fingerprint> fingerprints;
   TimePoint received_at;
   TimePoint deadline;
   std::shared_ptr<const std::string> body;
--- a/src/gateway/request_handler_crash.cc
+++ b/src/gateway/request_handler_crash.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <boost/asio/error.hpp>
+#include <iterator>
 
 #include "gateway/request_handler.h"
 #include "pimentospar/fingerprint.h"
@@ -16,17 +18,19 @@
 
 void RequestHandler::IdentifyRequest() {
   const auto& message = this->request.message;
-  HttpRequestIdentity identity{message.method_string(),
-                               message[boost::beast::http::field::host],
-                               message.target(), 0, *this->body};
-  this->call = FingerprintOfRequest(identity);
-  identity.prompt_hash = this->meta.prompt_hash;
-  this->meta.fingerprints.push_back(FingerprintOfRequest(identity));
+  const std::vector<Fingerprint>& parts = this->meta.prompt_parts;
+  if (!parts.empty()) {
+    this->fingerprints.assign(parts.begin(), std::prev(parts.end()));
+  }
+  std::ranges::copy(
+      FingerprintsOfRequest({message.method_string(), this->route->host,
+                             message.target(), *this->body, parts}),
+      std::back_inserter(this->fingerprints));
 }
 
 bool RequestHandler::IsQuarantined() {
   if (!this->IsTrial() || this->send_count > 0) {
-    this->admission = this->deps.crashes.Admit(this->meta.fingerprints);
+    this->admission = this->deps.crashes.Admit(this->fingerprints);
   }
   return std::holds_alternative<RefuseQuarantined>(this->admission);
 }
@@ -52,7 +56,7 @@
   this->deps.targets.OnEvent(this->last_target, interval);
   if (!this->survival_recorded && this->HasTargetSurvived()) {
     this->survival_recorded = true;
-    this->deps.crashes.OnSurvived(this->meta.fingerprints);
+    this->deps.crashes.OnSurvived(this->fingerprints);
   }
 }
 
@@ -81,7 +85,7 @@
                                     AttemptStatus attempt_status) {
   if (attempt_status == AttemptStatus::kDelivered) {
     if (this->HasTargetSurvived() || !attempt.exchange->EndsWithConnection()) {
-      this->deps.crashes.OnSurvived(this->meta.fingerprints);
+      this->deps.crashes.OnSurvived(this->fingerprints);
     }
     return;
   }
@@ -89,8 +93,8 @@
       this->HasTargetSurvived()) {
     return;
   }
-  attempt.target_crashed = this->deps.crashes.OnConnectionBroken(
-      attempt.target, this->meta.fingerprints);
+  attempt.target_crashed =
+      this->deps.crashes.OnConnectionBroken(attempt.target, this->fingerprints);
 }
 
 }  // namespace pimentospar
--- a/src/gateway/request_handler_retry.cc
+++ b/src/gateway/request_handler_retry.cc
@@ -46,7 +46,7 @@
   }
   if (attempt.target_crashed &&
       !std::holds_alternative<RunNormally>(
-          this->deps.crashes.Admit(this->meta.fingerprints))) {
+          this->deps.crashes.Admit(this->fingerprints))) {
     return false;
   }
   return reserved || attempt_status == AttemptStatus::kNotSent ||
--- a/src/gateway/strike_exchange.cc
+++ b/src/gateway/strike_exchange.cc
@@ -13,7 +13,7 @@
 
 // How often causes that could not be published are tried again.
 constexpr std::chrono::milliseconds kPublishInterval{1000};
-constexpr std::size_t kMaxStrikesPerMessage = 64;
+constexpr std::size_t kMaxStrikesPerMessage = 128;
 constexpr std::chrono::milliseconds kReadWait{2000};
 // An entry that hears from the lease holder most likely hears of strikes too.
 constexpr std::chrono::milliseconds kQuietReadWait{10000};
