Refuse requests that were in flight at all crashes of a cause

What callers saw: a request goes on crashing targets although three have crashed by it. Cause: fingerprints that no crash tells apart form one cause, and a request was refused only if it had all of them. Two requests that wait for one copy are sent together when it is loaded, crash together and are sent again together, so the cause asks for the fingerprints of both, which no request has. Class: a condition that joins what belongs to different requests is met by none. Change: a request is a part of a cause also if its own, most specific fingerprint is in it, that is, if the very request was in flight at all of the crashes. A sound one that was there each time is refused with the other until a trial; requests that were not there run.

--- a/include/pimentospar/crash_cause.h
+++ b/include/pimentospar/crash_cause.h
@@ -25,8 +25,8 @@
   std::vector<CrashInFlight> crashes;
 };
 
-/// What a number of crashes have in common. A request is a likely cause of
-/// further crashes only if it has all of the fingerprints.
+/// What a number of crashes have in common. Different requests may have been in
+/// flight at all of them, so that no request has all of the fingerprints.
 struct CrashCause {
   std::vector<Fingerprint> fingerprints;
   std::uint32_t strikes = 0;
@@ -54,8 +54,9 @@
     std::vector<CrashSuspect> suspects,
     const CrashCauseOptions& options);
 
-/// Returns the first cause whose fingerprints are all among `fingerprints`, or
-/// null.
+/// Returns the first cause that a request with `fingerprints` is a part of, or
+/// null: it has all that the crashes have in common, or it was in flight at all
+/// of them itself, as its last fingerprint, the most specific one, tells.
 [[nodiscard]] const CrashCause* FindMatchingCause(
     std::span<const CrashCause> causes,
     std::span<const Fingerprint> fingerprints);
--- a/include/pimentospar/quarantine.h
+++ b/include/pimentospar/quarantine.h
@@ -67,8 +67,9 @@
 
   /// Returns how a request may run; called before each of its attempts.
   [[nodiscard]] QuarantineDecision OnRequest(Fingerprint fingerprint);
-  /// Returns how a request with several fingerprints may run. It is refused, or
-  /// isolated after fewer strikes, only if it has all fingerprints of a cause.
+  /// Returns how a request with several fingerprints may run, the most specific
+  /// one last. It is refused, or isolated after fewer strikes, if it is a part
+  /// of a cause (see `FindMatchingCause`).
   [[nodiscard]] QuarantineDecision OnRequest(
       std::span<const Fingerprint> fingerprints);
   /// Records that a refused request runs as a trial.
--- a/src/crash_cause.cc
+++ b/src/crash_cause.cc
@@ -7,6 +7,13 @@
 
 namespace {
 
+bool HasAll(std::span<const Fingerprint> fingerprints,
+            std::span<const Fingerprint> wanted) {
+  return std::ranges::all_of(wanted, [&](Fingerprint fingerprint) {
+    return std::ranges::find(fingerprints, fingerprint) != fingerprints.end();
+  });
+}
+
 bool HasCrash(const CrashSuspect& suspect, CrashId crash) {
   return std::ranges::find(suspect.crashes, crash, &CrashInFlight::crash) !=
          suspect.crashes.end();
@@ -90,11 +97,9 @@
 const CrashCause* FindMatchingCause(std::span<const CrashCause> causes,
                                     std::span<const Fingerprint> fingerprints) {
   const auto found = std::ranges::find_if(causes, [&](const CrashCause& cause) {
-    return std::ranges::all_of(
-        cause.fingerprints, [&](Fingerprint fingerprint) {
-          return std::ranges::find(fingerprints, fingerprint) !=
-                 fingerprints.end();
-        });
+    return HasAll(fingerprints, cause.fingerprints) ||
+           (!fingerprints.empty() &&
+            HasAll(cause.fingerprints, fingerprints.last(1)));
   });
   return found == causes.end() ? nullptr : &*found;
 }
