Take what a record tells of completions for older than its crashes

What callers saw: after requests with a part of a prompt were refused at all entries, they ran again and crashed targets, as soon as an entry started or came back to the log. Cause: the record of a cause tells how long before it a fingerprint completed. An entry that read the record later counted this from its read, so that the completion seemed newer than the crashes, which cleared the strikes; as a cleared strike stays cleared, the next message to the others cleared them at all entries. It needs a fingerprint that has completed before it crashed targets. Class: an age without the time that it counts from. Only datagrams, which arrive at once, may carry one. Change: what a record tells of a completion counts as older than any strike that is kept. It still tells that the fingerprint has completed before, and clears nothing. Looked for elsewhere: the causes of crashes are the only records on the log with ages; limits of targets and loads travel by datagram, and registrations carry none. The four copies of the check for changed strikes in the crash tracker are one function now.

--- a/include/pimentospar/quarantine.h
+++ b/include/pimentospar/quarantine.h
@@ -88,7 +88,14 @@
   /// reported later for crashes before that make it no suspect either.
   void OnCompleted(Fingerprint fingerprint);
   /// Merges strikes from a peer; a strike counts once, however often received.
-  void Import(std::span<const StrikeReport> reports);
+  /// The ages count from up to `max_delay` ago, when the reports were made. A
+  /// completion is taken for that old, so that it clears no later strike.
+  void Import(std::span<const StrikeReport> reports,
+              Duration max_delay = Duration(0));
+  /// Merges strikes that were recorded at an unknown time.
+  void ImportRecord(std::span<const StrikeReport> reports) {
+    this->Import(reports, this->options.retention);
+  }
   /// Returns at most `limit` reports: those on fingerprints that have never
   /// completed and have several strikes first, then those on the fingerprints
   /// with the most strikes, cleared ones included, and then the newest.
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -64,8 +64,9 @@
   }
   if (!fingerprints.empty()) {
     this->witnessed.insert(fingerprints.begin(), fingerprints.end());
+    const std::uint64_t before = this->quarantine.Version();
     this->quarantine.OnCrash(crash, fingerprints);
-    this->OnStrikesChanged();
+    this->NotifyIfChanged(before);
   }
   return true;
 }
@@ -114,17 +115,13 @@
   for (const Fingerprint fingerprint : fingerprints) {
     this->RecordCompletion(fingerprint, "response");
   }
-  if (this->quarantine.Version() != before) {
-    this->OnStrikesChanged();
-  }
+  this->NotifyIfChanged(before);
 }
 
 void CrashTracker::OnCauseRemoved(Fingerprint fingerprint) {
   const std::uint64_t before = this->quarantine.Version();
   this->RecordCompletion(fingerprint, "log_record");
-  if (this->quarantine.Version() != before) {
-    this->OnStrikesChanged();
-  }
+  this->NotifyIfChanged(before);
 }
 
 void CrashTracker::RecordCompletion(Fingerprint fingerprint,
@@ -150,12 +147,19 @@
 void CrashTracker::Import(std::span<const StrikeReport> reports) {
   const std::uint64_t before = this->quarantine.Version();
   this->quarantine.Import(reports);
-  if (this->quarantine.Version() != before) {
-    this->OnStrikesChanged();
-  }
+  this->NotifyIfChanged(before);
 }
 
-void CrashTracker::OnStrikesChanged() {
+void CrashTracker::ImportRecord(std::span<const StrikeReport> reports) {
+  const std::uint64_t before = this->quarantine.Version();
+  this->quarantine.ImportRecord(reports);
+  this->NotifyIfChanged(before);
+}
+
+void CrashTracker::NotifyIfChanged(std::uint64_t version_before) {
+  if (this->quarantine.Version() == version_before) {
+    return;
+  }
   this->changed.NotifyAll();
   this->LogNewCauses();
   this->causes_changed.NotifyAll();
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -44,6 +44,8 @@
 
   /// Merges strikes of other entries.
   void Import(std::span<const StrikeReport> reports);
+  /// Merges strikes that another entry has recorded on the log.
+  void ImportRecord(std::span<const StrikeReport> reports);
   /// Returns the strikes against a request: the most that any of its
   /// fingerprints has.
   [[nodiscard]] std::uint32_t StrikeCount(
@@ -72,7 +74,8 @@
   [[nodiscard]] bool HasCrashed(const SelectedTarget& target, CrashId crash);
   void DropOldChecks();
   void RecordCompletion(Fingerprint fingerprint, std::string_view source);
-  void OnStrikesChanged();
+  /// Tells all that depend on the strikes if they have changed since.
+  void NotifyIfChanged(std::uint64_t version_before);
   void LogNewCauses();
   void LogEndedCauses(std::span<const Fingerprint> now_refused) const;
 
--- a/src/gateway/strike_exchange.cc
+++ b/src/gateway/strike_exchange.cc
@@ -158,7 +158,7 @@
     return;
   }
   this->published.insert(item.key);
-  this->crashes.Import(message->strikes);
+  this->crashes.ImportRecord(message->strikes);
 }
 
 }  // namespace pimentospar
--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -291,8 +291,10 @@
   }
 }
 
-void Quarantine::Import(std::span<const StrikeReport> reports) {
+void Quarantine::Import(std::span<const StrikeReport> reports,
+                        Duration max_delay) {
   const TimePoint now = this->clock.Now();
+  const TimePoint completed_since = now - max_delay;
   constexpr std::chrono::milliseconds kNoAge{0};
   for (const StrikeReport& report : reports) {
     if (report.last_seen_age >= this->options.retention) {
@@ -301,11 +303,13 @@
     RequestRecord& record = this->FindOrAddRecord(
         report.fingerprint, now - std::max(report.last_seen_age, kNoAge));
     if (report.completed_age) {
-      this->RecordCompletion(record,
-                             now - std::max(*report.completed_age, kNoAge));
+      this->RecordCompletion(
+          record, completed_since - std::max(*report.completed_age, kNoAge));
     }
-    this->Merge(record, {report.crash, now - std::max(report.age, kNoAge),
-                         report.cleared});
+    const TimePoint changed_since = report.cleared ? completed_since : now;
+    this->Merge(record,
+                {report.crash, changed_since - std::max(report.age, kNoAge),
+                 report.cleared});
   }
   this->DropExpired();
 }
