Count each crash of a target that comes back before its registration is read

What callers saw: where the log cannot be read, one request crashes the same targets again each time they come back. Cause: a crash is named by the target's id and the start that is known of it, and an incarnation that had crashed counted as crashed for 10 s without another look. A target that starts again under its id has a new start, which an entry without the log does not learn, so that all its later crashes were the first one again and counted once. Change: an attempt that was sent 200 ms or more after a crash was found is checked by itself, and its crash has an id of its own. What was sent sooner belongs to the crash before, as before. Histories of crashes are kept as long as strikes.

--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "net/log_line.h"
+#include "pimentospar/digest.h"
 #include "pimentospar/fingerprint.h"
 
 namespace pimentospar {
@@ -15,10 +16,13 @@
 constexpr std::chrono::milliseconds kCommonFailureTime{300};
 // A target that accepted a connection may have crashed since.
 constexpr std::chrono::milliseconds kAliveValidity{100};
-// An incarnation that has crashed is remembered for this time, longer than its
-// broken connections take to be noticed.
-constexpr std::chrono::seconds kCrashMemory{10};
+// As long as strikes are kept, so that a later crash is not taken for one of
+// those before it.
+constexpr std::chrono::hours kCrashMemory{1};
 constexpr std::chrono::seconds kCheckWait{1};
+// No target starts again sooner, so what was sent sooner after a crash was
+// ended by the same one.
+constexpr std::chrono::milliseconds kMinRestartTime{200};
 // Fewer strikes are cleared with each request that ran beside a crash.
 constexpr std::uint32_t kLoggedStrikes = 2;
 
@@ -29,6 +33,13 @@
   return options;
 }
 
+// Returns the id of a crash that follows `earlier` others of the same
+// incarnation of a target.
+CrashId LaterCrash(CrashId first, std::uint64_t earlier) {
+  return earlier == 0 ? first
+                      : CrashId{Hash64(std::to_string(earlier), first.value)};
+}
+
 }  // namespace
 
 CrashTracker::CrashTracker(const Clock& clock,
@@ -56,54 +67,78 @@
 
 bool CrashTracker::OnConnectionBroken(
     const SelectedTarget& target,
+    TimePoint sent_at,
     std::span<const Fingerprint> fingerprints) {
-  const CrashId crash =
-      CrashIdOf(target.target, static_cast<std::uint64_t>(target.started_ms));
-  if (!this->HasCrashed(target, crash)) {
+  const auto check = this->CheckTarget(target, sent_at);
+  if (!check->crashed) {
     return false;
   }
   if (!fingerprints.empty()) {
     this->witnessed.insert(fingerprints.begin(), fingerprints.end());
     const std::uint64_t before = this->quarantine.Version();
-    this->quarantine.OnCrash(crash, fingerprints);
+    this->quarantine.OnCrash(check->crash, fingerprints);
     this->NotifyIfChanged(before);
   }
   return true;
 }
 
-// All attempts that one crash has ended share one check.
-bool CrashTracker::HasCrashed(const SelectedTarget& target, CrashId crash) {
+// All attempts that one crash has ended share one check. What was sent after a
+// crash was ended by a later one.
+std::shared_ptr<CrashTracker::CrashCheck> CrashTracker::CheckTarget(
+    const SelectedTarget& target,
+    TimePoint sent_at) {
   this->DropOldChecks();
-  const auto found = this->checks.find(crash);
-  if (found != this->checks.end()) {
-    const std::shared_ptr<CrashCheck> check = found->second;
-    while (check->running) {
-      (void)check->ended.WaitFor(kCheckWait);
+  const CrashId first_crash =
+      CrashIdOf(target.target, static_cast<std::uint64_t>(target.started_ms));
+  CrashHistory& history = this->histories[first_crash];
+  const auto newest = history.newest;
+  if (newest != nullptr && this->IsValid(*newest, sent_at)) {
+    while (newest->running) {
+      (void)newest->ended.WaitFor(kCheckWait);
     }
-    return check->crashed;
+    return newest;
   }
   const auto check = std::make_shared<CrashCheck>();
-  this->checks.emplace(crash, check);
-  check->crashed = this->pool.IsRefused(target.address);
-  check->running = false;
-  check->ended_at = this->clock.Now();
-  check->ended.NotifyAll();
+  check->crash = LaterCrash(first_crash, history.crashes);
+  history.newest = check;
+  this->RunCheck(target, *check);
+  if (check->crashed) {
+    ++this->histories[first_crash].crashes;
+  }
+  return check;
+}
+
+bool CrashTracker::IsValid(const CrashCheck& check, TimePoint sent_at) const {
+  if (check.running) {
+    return true;
+  }
+  return check.crashed ? sent_at < check.ended_at + kMinRestartTime
+                       : this->clock.Now() < check.ended_at + kAliveValidity;
+}
+
+void CrashTracker::RunCheck(const SelectedTarget& target, CrashCheck& check) {
+  check.crashed = this->pool.IsRefused(target.address);
+  check.running = false;
+  check.ended_at = this->clock.Now();
+  check.ended.NotifyAll();
   LogInfo("connection_broken", {{"target", target.target.value},
                                 {"started", target.started_ms},
-                                {"crashed", check->crashed ? 1 : 0}});
-  if (check->crashed) {
+                                {"crashed", check.crashed ? 1 : 0}});
+  if (check.crashed) {
     this->metrics.Count(CountedEvent::kTargetCrashed);
   }
-  return check->crashed;
 }
 
 void CrashTracker::DropOldChecks() {
   const TimePoint now = this->clock.Now();
-  std::erase_if(this->checks, [now](const auto& entry) {
-    const CrashCheck& check = *entry.second;
-    const Duration validity =
-        check.crashed ? Duration(kCrashMemory) : Duration(kAliveValidity);
-    return !check.running && now - check.ended_at >= validity;
+  std::erase_if(this->histories, [now](const auto& entry) {
+    const CrashHistory& history = entry.second;
+    if (history.newest == nullptr || history.newest->running) {
+      return false;
+    }
+    const Duration age = now - history.newest->ended_at;
+    return age >= (history.crashes > 0 ? Duration(kCrashMemory)
+                                       : Duration(kAliveValidity));
   });
   if (this->witnessed.size() > kMaxFingerprints) {
     this->witnessed.clear();
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -31,11 +31,12 @@
   /// Returns how a request may run. Starts a trial if one is due.
   [[nodiscard]] QuarantineDecision Admit(
       std::span<const Fingerprint> fingerprints);
-  /// The connection of an attempt broke before the target had proven that it
-  /// survives the request. Suspends the fiber until it is known whether the
-  /// target has crashed, and returns that.
+  /// The connection of an attempt that was sent at `sent_at` broke before the
+  /// target had proven that it survives the request. Suspends the fiber until
+  /// it is known whether the target has crashed, and returns that.
   [[nodiscard]] bool OnConnectionBroken(
       const SelectedTarget& target,
+      TimePoint sent_at,
       std::span<const Fingerprint> fingerprints);
   /// A target has survived a request.
   void OnSurvived(std::span<const Fingerprint> fingerprints);
@@ -63,15 +64,29 @@
   [[nodiscard]] ListenerList& CausesChanged() { return this->causes_changed; }
 
  private:
-  /// Whether one incarnation of a target has crashed.
+  /// Whether a target has crashed.
   struct CrashCheck {
+    CrashId crash;
     bool running = true;
     bool crashed = false;
     TimePoint ended_at;
     FiberSignal ended;
   };
+  /// The crashes of a target since the start that is known of it. It may have
+  /// started again since, which an entry without the log does not learn.
+  struct CrashHistory {
+    std::uint64_t crashes = 0;
+    std::shared_ptr<CrashCheck> newest;
+  };
 
-  [[nodiscard]] bool HasCrashed(const SelectedTarget& target, CrashId crash);
+  /// Returns the check of the target after an attempt has ended, when it is
+  /// complete.
+  [[nodiscard]] std::shared_ptr<CrashCheck> CheckTarget(
+      const SelectedTarget& target,
+      TimePoint sent_at);
+  /// Returns whether the check tells what ended an attempt.
+  [[nodiscard]] bool IsValid(const CrashCheck& check, TimePoint sent_at) const;
+  void RunCheck(const SelectedTarget& target, CrashCheck& check);
   void DropOldChecks();
   void RecordCompletion(Fingerprint fingerprint, std::string_view source);
   /// Tells all that depend on the strikes if they have changed since.
@@ -84,7 +99,8 @@
   Metrics& metrics;
   std::function<bool()> may_start_trials;
   Quarantine quarantine;
-  std::unordered_map<CrashId, std::shared_ptr<CrashCheck>> checks;
+  /// By the first crash of the known incarnation of the target.
+  std::unordered_map<CrashId, CrashHistory> histories;
   std::unordered_set<Fingerprint> witnessed;
   std::vector<Fingerprint> refused;
   ListenerList causes_changed;
--- a/src/gateway/request_handler_crash.cc
+++ b/src/gateway/request_handler_crash.cc
@@ -93,8 +93,8 @@
       this->HasTargetSurvived()) {
     return;
   }
-  attempt.target_crashed =
-      this->deps.crashes.OnConnectionBroken(attempt.target, this->fingerprints);
+  attempt.target_crashed = this->deps.crashes.OnConnectionBroken(
+      attempt.target, this->last_sent_at, this->fingerprints);
 }
 
 }  // namespace pimentospar
--- a/test/gateway/fragile_fleet.h
+++ b/test/gateway/fragile_fleet.h
@@ -69,8 +69,15 @@
  public:
   void Crash() {
     this->crashed = true;
+    ++this->crashes;
     this->target.Crash();
   }
+  /// Comes back with the same id and address.
+  void Restart() {
+    this->crashed = false;
+    this->target.Restart();
+  }
+  [[nodiscard]] std::size_t Crashes() const { return this->crashes; }
   [[nodiscard]] std::string Address() const { return this->target.Address(); }
   [[nodiscard]] bool HasCrashed() const { return this->crashed; }
   /// Makes the target respond to all requests, or crash again by deadly ones.
@@ -97,6 +104,7 @@
     return true;
   }
 
+  std::size_t crashes = 0;
   bool crashed = false;
   bool sound = false;
   ScriptedTarget target{
@@ -131,6 +139,15 @@
     BOOST_TEST(Eventually([&] { return entry.IsReady(); }));
   }
 
+  /// Lets all targets that have crashed come back.
+  void RestartTargets() {
+    for (FragileTarget* target : this->targets) {
+      if (target->HasCrashed()) {
+        target->Restart();
+      }
+    }
+  }
+
   /// Cuts an entry off from the log and from the messages of the lease holder,
   /// which reads the other entries once a second.
   void CutOff(std::size_t entry) {
@@ -199,6 +216,15 @@
         std::ranges::count_if(this->targets, &FragileTarget::HasCrashed));
   }
 
+  /// Returns how often targets have crashed.
+  [[nodiscard]] std::size_t Crashes() const {
+    std::size_t crashes = 0;
+    for (const FragileTarget* target : this->targets) {
+      crashes += target->Crashes();
+    }
+    return crashes;
+  }
+
   Fleet& fleet;
 
  private:
--- a/test/gateway/support.h
+++ b/test/gateway/support.h
@@ -174,9 +174,15 @@
     }
   }
 
+  /// Accepts connections again, at the same address.
+  void Restart() {
+    this->state->acceptor = TcpAcceptor(Loop().Context(), this->state->address);
+    const auto shared = this->state;
+    Loop().Spawn([shared] { shared->Accept(shared); });
+  }
+
   [[nodiscard]] std::string Address() const {
-    return "127.0.0.1:" +
-           std::to_string(this->state->acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(this->state->address.port());
   }
   [[nodiscard]] const std::vector<std::string>& Requests() const {
     return this->state->requests;
@@ -191,6 +197,7 @@
         : acceptor(
               Loop().Context(),
               Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+          address(acceptor.local_endpoint()),
           script(std::move(script)) {}
 
     void Accept(const std::shared_ptr<State>& self) {
@@ -225,6 +232,7 @@
     }
 
     TcpAcceptor acceptor;
+    Tcp::endpoint address;
     Script script;
     std::vector<std::string> requests;
     std::vector<RawConnection*> open_connections;
