Pass over registrations of an earlier start of a target

What callers saw: after targets drained and started again under their ids, most entries refused their service with 503 for as long as they lived. Cause: an entry hears of the new start from the lease holder and then reads the older records from the log itself. The record of the leaving incarnation made the known, newer one draining, and nothing cleared that. Change: a registration of an earlier start than the known one changes nothing, at the selector and at the gateway, which logs it and tells it to nobody. What is left depends on the newest start and on whether any of its registrations said that it drains, so that order and repetition do not matter.

--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -193,7 +193,9 @@
                  TargetSelectorOptions options);
 
   /// Adds a target, or changes its description. An incarnation of a target that
-  /// has once been draining stays so, whatever its registration says later.
+  /// has once been draining stays so, and a description of an earlier start than
+  /// the known one changes nothing, so that the order of registrations does not
+  /// matter.
   void OnTarget(const TargetDescription& target);
   /// The target's registration was removed; it gets no requests from
   /// `removed_at` on, unless it registers again before. Returns false if the
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -320,6 +320,12 @@
         BOOST_LEAF_AUTO(target,
                         this->platform.registry.DecodeTarget(id, *item.value));
         const TargetDescription* known = this->targets.Find(id);
+        if (known != nullptr &&
+            target.inventory.started_ms < known->inventory.started_ms) {
+          LogInfo("registration_outdated",
+                  {{"target", item.key}, {"offset", item.offset.value}});
+          return {};
+        }
         if (known == nullptr || (target.draining && !known->draining) ||
             known->address != target.address ||
             known->inventory.started_ms != target.inventory.started_ms) {
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -39,11 +39,14 @@
     return;
   }
   KnownTarget& known = entry->second;
+  const std::int64_t known_start = known.description.inventory.started_ms;
+  if (target.inventory.started_ms < known_start) {
+    return;
+  }
   known.removed_at.reset();
   const bool keeps_leaving = known.description.draining &&
                              IsSameIncarnation(known.description, target);
-  const bool restarted =
-      target.inventory.started_ms > known.description.inventory.started_ms;
+  const bool restarted = target.inventory.started_ms > known_start;
   if (restarted || target.address != known.description.address) {
     known.health = TargetHealth(this->options.health);
     known.prefixes = PrefixCacheEstimate(this->options.prefixes);
