Treat a continued stream without events as broken off

What callers saw: a stream ended as complete without its last events after two targets had crashed. Cause: the end of a connection ends a response without length or chunks, unless it brought no event; but the check asked whether any run of the stream, or the caller's Last-Event-Id, had named an event. The caller resumes it and loses nothing if it was complete. Evidence: EndsAStreamWithoutTheEventsOfItsSecondTarget failed before; request_handler_stream_test passes.

--- a/src/gateway/response_forwarder.cc
+++ b/src/gateway/response_forwarder.cc
@@ -44,7 +44,8 @@
     UpstreamExchange& exchange,
     Duration idle_timeout,
     const AbandonCheck& may_abandon) {
-  if (!this->started) {
+  const bool continues = this->started;
+  if (!continues) {
     this->stream_head = this->BuildHead(exchange.GetHead()) +
                         "Transfer-Encoding: chunked\r\n\r\n";
   }
@@ -78,8 +79,10 @@
     if (part != BodyReadResult::kEnd) {
       continue;
     }
+    // A caller that has all events may ask for the rest; a stream that this
+    // process continues had no proper end.
     const bool is_empty =
-        !this->target_first_event_at && !this->events.LastId();
+        !this->target_first_event_at && (continues || !this->events.LastId());
     if (splitter.PendingBytes() > 0 ||
         (is_empty && exchange.EndsWithConnection())) {
       return ForwardResult::kIncomplete;
--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -31,6 +31,12 @@
          "Transfer-Encoding: chunked\r\n\r\n";
 }
 
+/// The head of a stream that ends with its connection.
+inline std::string UnframedStreamHead(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " + id + "\r\n" +
+         std::string(kStamp) + "Content-Type: text/event-stream\r\n\r\n";
+}
+
 inline std::string Chunk(std::string_view data) {
   char size[16];
   std::snprintf(size, sizeof size, "%zx\r\n", data.size());
--- a/test/gateway/request_handler_stream_test.cc
+++ b/test/gateway/request_handler_stream_test.cc
@@ -22,6 +22,7 @@
 using test::RequestIdOf;
 using test::ScriptedTarget;
 using test::StreamHead;
+using test::UnframedStreamHead;
 
 // The first target closes the connection in the middle of its third event.
 BOOST_FIXTURE_TEST_CASE(ResumesAStreamAtAnotherTarget, Fixture) {
@@ -148,6 +149,39 @@
 }
 
 // The chunks end properly, but the last event does not.
+// The first target breaks off, and the second one crashes when it has sent the
+// head of a response that ends with its connection.
+BOOST_FIXTURE_TEST_CASE(EndsAStreamWithoutTheEventsOfItsSecondTarget, Fixture) {
+  const auto script = [](RawConnection& connection,
+                         const std::string& request) {
+    const std::string id = RequestIdOf(request);
+    connection.Write(Contains(request, "Last-Event-Id: ")
+                         ? UnframedStreamHead(id)
+                         : StreamHead(id) + Chunk(Event(1)));
+    return false;
+  };
+  ScriptedTarget one(script);
+  ScriptedTarget two(script);
+  this->AddTarget("one", one);
+  this->AddTarget("two", two);
+  const std::string response = this->Send("POST /stream/1", "", "x");
+  BOOST_TEST(Contains(response, "id: 1"), response);
+  BOOST_TEST(!response.ends_with("0\r\n\r\n"), response);
+}
+
+// A caller that has all events of a stream may ask for the rest of it.
+BOOST_FIXTURE_TEST_CASE(BreaksOffAStreamWithoutFurtherEvents, Fixture) {
+  ScriptedTarget target(
+      [](RawConnection& connection, const std::string& request) {
+        connection.Write(UnframedStreamHead(RequestIdOf(request)));
+        return false;
+      });
+  this->AddTarget("t", target);
+  const std::string response =
+      this->Send("POST /stream/1", "Last-Event-Id: 7\r\n", "x");
+  BOOST_TEST(response.ends_with("0\r\n\r\n"), response);
+}
+
 BOOST_FIXTURE_TEST_CASE(ResumesAChunkedStreamThatEndsInsideAnEvent, Fixture) {
   const auto script = [](RawConnection& connection,
                          const std::string& request) {
