Promise nothing for an error that belongs to no request

What callers saw: a booking that had run was answered 503, and was made again. Cause: an error without an id on a new connection counted as the target's answer, and its status went to the caller, also 408, 429 and 503, which promise that the request has not run. An error with the id is passed on unchanged, as before. Evidence: PromisesThatARequestDidNotRunForAnErrorWithoutId failed for 503, 429, 408 and 500 before; request_handler_test passes.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -298,7 +298,9 @@
     return AttemptStatus::kNotRun;
   }
   ++this->run_count;
-  if (IsSuccess(status) && !this->IsUsableSuccess(attempt)) {
+  const bool is_own_response = attempt.meta.id == this->meta.id;
+  if (!is_own_response ||
+      (IsSuccess(status) && !this->IsUsableSuccess(attempt))) {
     attempt.reason = Reason::kTargetError;
     return AttemptStatus::kUnknown;
   }
--- a/test/gateway/request_handler_test.cc
+++ b/test/gateway/request_handler_test.cc
@@ -179,6 +179,57 @@
   BOOST_TEST(this->Send("POST /unsafe/1", "", "x").starts_with("HTTP/1.1 200"));
 }
 
+// Bytes that belong to no request tell nothing of whether it has run.
+BOOST_FIXTURE_TEST_CASE(PromisesThatARequestDidNotRunForAnErrorWithoutId,
+                        Fixture) {
+  for (const std::string status :
+       {"503 Service Unavailable", "429 Too Many Requests",
+        "408 Request Timeout", "500 Internal Server Error"}) {
+    ScriptedTarget target([&](RawConnection& connection, const std::string&) {
+      connection.Write("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
+      return false;
+    });
+    this->AddTarget("t", target);
+    const std::string response = this->Send("POST /unsafe/1", "", "x");
+    BOOST_TEST(response.starts_with("HTTP/1.1 502"), response);
+    BOOST_TEST(!Contains(response, "Retry-After"), response);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(RunsARequestAgainAfterAnErrorWithoutId, Fixture) {
+  ScriptedTarget broken([](RawConnection& connection, const std::string&) {
+    connection.Write(
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        "Content-Length: 0\r\n\r\n");
+    return false;
+  });
+  ScriptedTarget broken_too([](RawConnection& connection, const std::string&) {
+    connection.Write(
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        "Content-Length: 0\r\n\r\n");
+    return false;
+  });
+  this->AddTarget("broken", broken);
+  this->AddTarget("broken_too", broken_too);
+  (void)this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(broken.Requests().size() + broken_too.Requests().size() == 1U);
+}
+
+// A refusal that says that the request did not run needs no id.
+BOOST_FIXTURE_TEST_CASE(DropsARefusalWithoutId, Fixture) {
+  ScriptedTarget full([](RawConnection& connection, const std::string&) {
+    connection.Write(
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        "X-Pimentospar-Not-Run: 1\r\n"
+        "Content-Length: 0\r\n\r\n");
+    return true;
+  });
+  this->AddTarget("full", full);
+  const std::string response = this->Send("POST /unsafe/1", "", "x");
+  BOOST_TEST(response.starts_with("HTTP/1.1 503"), response);
+  BOOST_TEST(Contains(response, "Retry-After"), response);
+}
+
 BOOST_FIXTURE_TEST_CASE(SkipsResponsesToOtherRequests, Fixture) {
   ScriptedTarget target(
       [](RawConnection& connection, const std::string& request) {
