Remember what a target has said of itself when its registration lapses

What callers saw: requests sent to a target that had said that it leaves, or that it wants nothing for some time. Cause: a target whose registration lapses is erased with all that is known of it. While the log is away registrations lapse and return as they were, and the target was used again. Change: whether an incarnation leaves, and until when it wants nothing, is kept for 10 minutes and joined to the same incarnation when it registers again. The check for an older start stands at one place only now.

--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -193,9 +193,9 @@
                  TargetSelectorOptions options);
 
   /// Adds a target, or changes its description. An incarnation of a target that
-  /// has once been draining stays so, and a description of an earlier start than
-  /// the known one changes nothing, so that the order of registrations does not
-  /// matter.
+  /// has once been draining stays so, and a description of an earlier start
+  /// than the known one changes nothing, so that the order of registrations
+  /// does not matter.
   void OnTarget(const TargetDescription& target);
   /// The target's registration was removed; it gets no requests from
   /// `removed_at` on, unless it registers again before. Returns false if the
@@ -280,6 +280,13 @@
     double latency_factor = 1;
     EventIntervalEstimator event_interval;
   };
+  /// What a target has said of itself before its registration lapsed.
+  struct LapsedNotice {
+    std::int64_t started_ms = 0;
+    bool draining = false;
+    TimePoint backoff_until;
+    TimePoint forget_at;
+  };
   struct InFlightAttempt {
     TargetId target;
     TimePoint sent_at;
@@ -322,6 +329,9 @@
       const TargetQuery& query,
       TimePoint now) const;
   void EraseRemovedTargets(TimePoint now);
+  void KeepNotice(const KnownTarget& target, TimePoint now);
+  /// Applies what the target has said before its registration lapsed.
+  void RestoreNotice(KnownTarget& target);
   void UpdatePromptSplit(const ServiceId& service, TimePoint now);
   [[nodiscard]] Duration PromptSplitCost(const KnownTarget& target,
                                          const TargetQuery& query) const;
@@ -330,6 +340,7 @@
   RandomSource& random;
   TargetSelectorOptions options;
   std::unordered_map<TargetId, KnownTarget> targets;
+  std::unordered_map<TargetId, LapsedNotice> lapsed_notices;
   std::unordered_map<AttemptId, InFlightAttempt> in_flight_attempts;
   struct PromptSplit {
     TimePoint updated_at;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -282,7 +282,7 @@
   std::set<std::string> listed;
   for (const KeyedItem& item : all.items) {
     listed.insert(item.key);
-    if (all.after_restore && this->IsOutdatedRegistration(item)) {
+    if (all.after_restore && this->WasRemovedBefore(item)) {
       LogInfo("registration_outdated",
               {{"target", item.key}, {"offset", item.offset.value}});
       continue;
@@ -296,17 +296,12 @@
   }
 }
 
-bool Gateway::IsOutdatedRegistration(const KeyedItem& item) const {
+bool Gateway::WasRemovedBefore(const KeyedItem& item) const {
   const TargetId id(item.key);
   const auto listed =
       this->platform.registry.DecodeTarget(id, item.value.value_or(""));
-  if (!listed) {
-    return false;
-  }
-  const std::int64_t started_ms = listed->inventory.started_ms;
-  const TargetDescription* known = this->targets.Find(id);
-  return this->removed_targets.Contains(id, started_ms) ||
-         (known != nullptr && started_ms < known->inventory.started_ms);
+  return listed &&
+         this->removed_targets.Contains(id, listed->inventory.started_ms);
 }
 
 void Gateway::OnTarget(const KeyedItem& item) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -112,9 +112,9 @@
   void OnTargets(const KeyedSnapshot& all);
   void OnTarget(const KeyedItem& item);
   void OnTargetRemoved(const TargetId& target);
-  /// Returns whether a registration in a restored log is older than what is
-  /// known of the target: it was removed since, or has started again.
-  [[nodiscard]] bool IsOutdatedRegistration(const KeyedItem& item) const;
+  /// Returns whether a restored log lists an incarnation of a target that was
+  /// removed before.
+  [[nodiscard]] bool WasRemovedBefore(const KeyedItem& item) const;
   void OnEntries(const KeyedSnapshot& all);
   void OnEntry(const KeyedItem& item);
   [[nodiscard]] PollTiming EntryPollTiming() const;
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds kBaseCost{20};
 // Engines are rarely added or removed, so they are not split for each request.
 constexpr std::chrono::milliseconds kPromptSplitInterval{500};
+// Registrations that lapse while the log is away return after its outage.
+constexpr std::chrono::minutes kLapsedNoticeMemory{10};
 
 bool IsSameIncarnation(const TargetDescription& one,
                        const TargetDescription& other) {
@@ -35,10 +37,11 @@
 void TargetSelector::OnTarget(const TargetDescription& target) {
   const auto [entry, is_new] =
       this->targets.try_emplace(target.id, target, this->options);
+  KnownTarget& known = entry->second;
   if (is_new) {
+    this->RestoreNotice(known);
     return;
   }
-  KnownTarget& known = entry->second;
   const std::int64_t known_start = known.description.inventory.started_ms;
   if (target.inventory.started_ms < known_start) {
     return;
@@ -423,11 +426,39 @@
 }
 
 void TargetSelector::EraseRemovedTargets(TimePoint now) {
-  std::erase_if(this->targets, [now](const auto& entry) {
+  std::erase_if(this->targets, [this, now](const auto& entry) {
     const KnownTarget& target = entry.second;
-    return target.removed_at && now >= *target.removed_at &&
-           target.in_flight == 0;
+    if (!target.removed_at || now < *target.removed_at ||
+        target.in_flight > 0) {
+      return false;
+    }
+    this->KeepNotice(target, now);
+    return true;
+  });
+}
+
+void TargetSelector::KeepNotice(const KnownTarget& target, TimePoint now) {
+  const TargetDescription& description = target.description;
+  if (!description.draining && target.backoff_until <= now) {
+    return;
+  }
+  std::erase_if(this->lapsed_notices, [now](const auto& entry) {
+    return now >= entry.second.forget_at;
   });
+  this->lapsed_notices[description.id] = {
+      description.inventory.started_ms, description.draining,
+      target.backoff_until, now + kLapsedNoticeMemory};
+}
+
+void TargetSelector::RestoreNotice(KnownTarget& target) {
+  TargetDescription& description = target.description;
+  const auto found = this->lapsed_notices.find(description.id);
+  if (found == this->lapsed_notices.end() ||
+      found->second.started_ms != description.inventory.started_ms) {
+    return;
+  }
+  description.draining = description.draining || found->second.draining;
+  target.backoff_until = found->second.backoff_until;
 }
 
 std::vector<TargetDescription> TargetSelector::Targets() const {
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -141,6 +141,32 @@
   BOOST_TEST(this->SelectedName(this->Query()) == "t");
 }
 
+// A registration also lapses while the log is away, and returns as it was.
+BOOST_FIXTURE_TEST_CASE(ForgetsWhatATargetSaidBeforeItsRegistrationLapsed,
+                        Fixture) {
+  for (const std::string name : {"leaving", "full", "sound"}) {
+    this->selector.OnTarget(Target(name));
+  }
+  this->selector.OnNotice(TargetId("leaving"), 1, {.leaving = true});
+  this->selector.OnNotice(TargetId("full"), 1,
+                          {.leaving = false, .retry_after = seconds(9)});
+  for (const std::string name : {"leaving", "full", "sound"}) {
+    (void)this->selector.OnRemoved(TargetId(name), this->clock.Now());
+  }
+  this->clock.Advance(seconds(2));
+  BOOST_TEST(this->SelectedName(this->Query()).empty());
+  this->selector.OnTarget(Target("leaving"));
+  this->selector.OnTarget(Target("full"));
+  BOOST_TEST(this->SelectedName(this->Query()).empty());
+  this->clock.Advance(seconds(8));
+  BOOST_TEST(this->SelectedName(this->Query()) == "full");
+  TargetDescription restarted = Target("leaving");
+  restarted.inventory.started_ms = 2;
+  this->selector.OnTarget(restarted);
+  (void)this->selector.OnRemoved(TargetId("full"), this->clock.Now());
+  BOOST_TEST(this->SelectedName(this->Query()) == "leaving");
+}
+
 // Registrations lag behind the orders of the planner, so for some seconds they
 // must not replace an inventory from the planner; an older one from the planner
 // never may.
