--- /dev/null
+++ b/include/pimentospar/access/access_control.h
@@ -0,0 +1,40 @@
+#ifndef INCLUDE_PIMENTOSPAR_ACCESS_ACCESS_CONTROL_H_
+#define INCLUDE_PIMENTOSPAR_ACCESS_ACCESS_CONTROL_H_
+
+#include <optional>
+#include <string_view>
+#include <variant>
+
+#include "pimentospar/access/workspace.h"
+#include "pimentospar/clock.h"
+#include "pimentospar/reason.h"
+#include "pimentospar/routing/route_table.h"
+
+namespace pimentospar {
+
+/// The request may go on.
+struct AccessGranted {
+  /// Null where the request names no workspace.
+  const WorkspaceSpec* workspace = nullptr;
+  /// False on a route that needs no key: its requests are not charged.
+  bool charged = true;
+};
+/// The request must not run.
+struct AccessDenied {
+  Reason reason = Reason::kUnauthorized;
+  std::optional<Duration> retry_after;
+};
+using AccessDecision = std::variant<AccessGranted, AccessDenied>;
+
+/// Decides which workspace sends a request, by its key.
+class AccessControl {
+ public:
+  /// The result refers to `table`.
+  [[nodiscard]] AccessDecision Check(const RouteTable& table,
+                                     const RouteSpec& route,
+                                     std::string_view key) const;
+};
+
+}  // namespace pimentospar
+
+#endif  // INCLUDE_PIMENTOSPAR_ACCESS_ACCESS_CONTROL_H_
--- a/include/pimentospar/reason.h
+++ b/include/pimentospar/reason.h
@@ -61,6 +61,8 @@
   kRetryBudgetExhausted,
   kInternal,
   kTargetsLimited,
+  kQuotaExceeded,
+  kConfigStale,
 };
 
 /// The code, HTTP status and texts of a reason, as used in responses, metrics
--- a/include/pimentospar/routing/route_table.h
+++ b/include/pimentospar/routing/route_table.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pimentospar/access/workspace.h"
 #include "pimentospar/types.h"
 
 namespace pimentospar {
@@ -39,6 +40,13 @@
   /// Latency that callers aim at: time to the response, or to the first event
   /// of a stream.
   std::chrono::milliseconds latency_goal{0};
+  /// Longest pause between the events of a stream that its callers accept; 0 if
+  /// the route names none.
+  std::chrono::milliseconds max_pause{0};
+  /// Rank of its requests, 0 is the most urgent.
+  std::uint32_t priority = 0;
+  /// False if requests need no key although the configuration has workspaces.
+  bool requires_key = true;
   std::vector<WeightedService> services;
   /// Maximum number of targets at which one request may run.
   std::uint32_t max_attempts = 1;
@@ -69,6 +77,10 @@
   std::uint32_t adapter_slots = 0;
   /// Rate of loads that the weight store allows for all engines together.
   double loads_per_second = 1;
+  /// Tokens that the KV cache of one engine holds; 0 if unknown.
+  std::uint32_t kv_capacity_tokens = 0;
+  /// Output tokens in one event of a stream.
+  std::uint32_t tokens_per_event = 1;
   std::vector<ModelSpec> models;
 
   /// Returns null for an unknown model.
@@ -96,6 +108,8 @@
   std::vector<RouteSpec> routes;
   std::vector<ServiceSpec> services;
   CallerLimits limits;
+  /// If there are any, requests need the key of one of them.
+  std::vector<WorkspaceSpec> workspaces;
 };
 
 /// Looks up routes and services in one configuration.
--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -43,6 +43,9 @@
 struct ReportedLoad {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  /// How long work takes on the target's host at this moment, in relation to
+  /// the usual time; nothing if the target does not tell.
+  std::optional<double> slowdown;
 };
 
 /// What a target says of itself in a response of any kind.
--- a/include/pimentospar/types.h
+++ b/include/pimentospar/types.h
@@ -46,6 +46,7 @@
 using RegionId = detail::TextId<struct RegionTag>;
 using ServiceId = detail::TextId<struct ServiceTag>;
 using TargetId = detail::TextId<struct TargetTag>;
+using WorkspaceId = detail::TextId<struct WorkspaceTag>;
 
 /// Identifies one attempt to run a request at one target; never reused.
 using AttemptId = detail::NumberId<struct AttemptTag>;
--- a/schema/gateway.capnp
+++ b/schema/gateway.capnp
@@ -28,6 +28,38 @@
   limits @14 :List(EntryTargetLimit);
   permitRequests @15 :List(EntryPermitRequest);
   permitReplies @16 :List(EntryPermitReply);
+  # Ids of questions how fresh the receiver's configuration is.
+  freshnessQueries @17 :List(UInt64);
+  freshnessReplies @18 :List(EntryFreshness);
+  quotaUsage @19 :List(EntryQuotaUsage);
+  # From the holder of the lease: workspaces that may not pass on all of their
+  # demand.
+  quotaLimits @20 :List(EntryQuotaLimit);
+  # Grows with each change of the limits; 0 if the message has none.
+  quotaEpoch @21 :UInt64;
+}
+
+struct EntryFreshness {
+  # Repeats the id of the question.
+  id @0 :UInt64;
+  version @1 :UInt64;
+  # Hash of the text of the configuration.
+  hash @2 :UInt64;
+  # Time since the version was known to be the newest one.
+  ageMs @3 :UInt32;
+}
+
+struct EntryQuotaUsage {
+  # Units since the sender started.
+  workspace @0 :Text;
+  asked @1 :Float64;
+  sent @2 :Float64;
+}
+
+struct EntryQuotaLimit {
+  workspace @0 :Text;
+  # Part of the demand that may pass, from 0 to 1.
+  fraction @1 :Float64;
 }
 
 struct EntryTargetLimit {
@@ -78,6 +110,8 @@
   target @0 :Text;
   running @1 :UInt16;
   waiting @2 :UInt16;
+  # How long work takes in relation to the usual time; 0 if unknown.
+  slowdown @3 :Float32;
 }
 
 struct EntryCopy {
--- a/schema/gateway.capnp.h
+++ b/schema/gateway.capnp.h
@@ -17,6 +17,9 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(dc6a7d382666f852);
+CAPNP_DECLARE_SCHEMA(d9185753c96fa82e);
+CAPNP_DECLARE_SCHEMA(b0a5a1d5a5bb7237);
+CAPNP_DECLARE_SCHEMA(e82b0331ce0cc301);
 CAPNP_DECLARE_SCHEMA(927387fc0f419c2e);
 CAPNP_DECLARE_SCHEMA(84518a2832a8a682);
 CAPNP_DECLARE_SCHEMA(a090ebaa96318cbe);
@@ -42,7 +45,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dc6a7d382666f852, 6, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(dc6a7d382666f852, 7, 14)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryFreshness {
+  EntryFreshness() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d9185753c96fa82e, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryQuotaUsage {
+  EntryQuotaUsage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b0a5a1d5a5bb7237, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryQuotaLimit {
+  EntryQuotaLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e82b0331ce0cc301, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -262,6 +310,20 @@
   inline bool hasPermitReplies() const;
   inline  ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>::Reader getPermitReplies() const;
 
+  inline bool hasFreshnessQueries() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFreshnessQueries() const;
+
+  inline bool hasFreshnessReplies() const;
+  inline  ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>::Reader getFreshnessReplies() const;
+
+  inline bool hasQuotaUsage() const;
+  inline  ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>::Reader getQuotaUsage() const;
+
+  inline bool hasQuotaLimits() const;
+  inline  ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>::Reader getQuotaLimits() const;
+
+  inline  ::uint64_t getQuotaEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -381,6 +443,38 @@
   inline void adoptPermitReplies(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryPermitReply,  ::capnp::Kind::STRUCT>> disownPermitReplies();
 
+  inline bool hasFreshnessQueries();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getFreshnessQueries();
+  inline void setFreshnessQueries( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFreshnessQueries(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initFreshnessQueries(unsigned int size);
+  inline void adoptFreshnessQueries(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFreshnessQueries();
+
+  inline bool hasFreshnessReplies();
+  inline  ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>::Builder getFreshnessReplies();
+  inline void setFreshnessReplies( ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>::Builder initFreshnessReplies(unsigned int size);
+  inline void adoptFreshnessReplies(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>> disownFreshnessReplies();
+
+  inline bool hasQuotaUsage();
+  inline  ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>::Builder getQuotaUsage();
+  inline void setQuotaUsage( ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>::Builder initQuotaUsage(unsigned int size);
+  inline void adoptQuotaUsage(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>> disownQuotaUsage();
+
+  inline bool hasQuotaLimits();
+  inline  ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>::Builder getQuotaLimits();
+  inline void setQuotaLimits( ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>::Builder initQuotaLimits(unsigned int size);
+  inline void adoptQuotaLimits(::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>> disownQuotaLimits();
+
+  inline  ::uint64_t getQuotaEpoch();
+  inline void setQuotaEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -407,6 +501,274 @@
 };
 #endif  // !CAPNP_LITE
 
+class EntryFreshness::Reader {
+public:
+  typedef EntryFreshness Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getHash() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryFreshness::Builder {
+public:
+  typedef EntryFreshness Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getHash();
+  inline void setHash( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryFreshness::Pipeline {
+public:
+  typedef EntryFreshness Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryQuotaUsage::Reader {
+public:
+  typedef EntryQuotaUsage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline double getAsked() const;
+
+  inline double getSent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryQuotaUsage::Builder {
+public:
+  typedef EntryQuotaUsage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline double getAsked();
+  inline void setAsked(double value);
+
+  inline double getSent();
+  inline void setSent(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryQuotaUsage::Pipeline {
+public:
+  typedef EntryQuotaUsage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryQuotaLimit::Reader {
+public:
+  typedef EntryQuotaLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline double getFraction() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryQuotaLimit::Builder {
+public:
+  typedef EntryQuotaLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline double getFraction();
+  inline void setFraction(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryQuotaLimit::Pipeline {
+public:
+  typedef EntryQuotaLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EntryTargetLimit::Reader {
 public:
   typedef EntryTargetLimit Reads;
@@ -901,6 +1263,8 @@
 
   inline  ::uint16_t getWaiting() const;
 
+  inline float getSlowdown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -942,6 +1306,9 @@
   inline  ::uint16_t getWaiting();
   inline void setWaiting( ::uint16_t value);
 
+  inline float getSlowdown();
+  inline void setSlowdown(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1794,6 +2161,326 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool EntryMessage::Reader::hasFreshnessQueries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryMessage::Builder::hasFreshnessQueries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader EntryMessage::Reader::getFreshnessQueries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EntryMessage::Builder::getFreshnessQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void EntryMessage::Builder::setFreshnessQueries( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void EntryMessage::Builder::setFreshnessQueries(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EntryMessage::Builder::initFreshnessQueries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void EntryMessage::Builder::adoptFreshnessQueries(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> EntryMessage::Builder::disownFreshnessQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool EntryMessage::Reader::hasFreshnessReplies() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryMessage::Builder::hasFreshnessReplies() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>::Reader EntryMessage::Reader::getFreshnessReplies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::getFreshnessReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void EntryMessage::Builder::setFreshnessReplies( ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::initFreshnessReplies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void EntryMessage::Builder::adoptFreshnessReplies(
+    ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>> EntryMessage::Builder::disownFreshnessReplies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryFreshness,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline bool EntryMessage::Reader::hasQuotaUsage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryMessage::Builder::hasQuotaUsage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>::Reader EntryMessage::Reader::getQuotaUsage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::getQuotaUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void EntryMessage::Builder::setQuotaUsage( ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::initQuotaUsage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void EntryMessage::Builder::adoptQuotaUsage(
+    ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>> EntryMessage::Builder::disownQuotaUsage() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaUsage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
+inline bool EntryMessage::Reader::hasQuotaLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryMessage::Builder::hasQuotaLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>::Reader EntryMessage::Reader::getQuotaLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::getQuotaLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void EntryMessage::Builder::setQuotaLimits( ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>::Builder EntryMessage::Builder::initQuotaLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void EntryMessage::Builder::adoptQuotaLimits(
+    ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>> EntryMessage::Builder::disownQuotaLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::pimentospar::wire::EntryQuotaLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EntryMessage::Reader::getQuotaEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryMessage::Builder::getQuotaEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void EntryMessage::Builder::setQuotaEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EntryFreshness::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryFreshness::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryFreshness::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EntryFreshness::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryFreshness::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntryFreshness::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EntryFreshness::Reader::getHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryFreshness::Builder::getHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EntryFreshness::Builder::setHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EntryFreshness::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryFreshness::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void EntryFreshness::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryQuotaUsage::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryQuotaUsage::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryQuotaUsage::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryQuotaUsage::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryQuotaUsage::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryQuotaUsage::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryQuotaUsage::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryQuotaUsage::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double EntryQuotaUsage::Reader::getAsked() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double EntryQuotaUsage::Builder::getAsked() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryQuotaUsage::Builder::setAsked(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double EntryQuotaUsage::Reader::getSent() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double EntryQuotaUsage::Builder::getSent() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntryQuotaUsage::Builder::setSent(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryQuotaLimit::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryQuotaLimit::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryQuotaLimit::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryQuotaLimit::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryQuotaLimit::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryQuotaLimit::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryQuotaLimit::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryQuotaLimit::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double EntryQuotaLimit::Reader::getFraction() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double EntryQuotaLimit::Builder::getFraction() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryQuotaLimit::Builder::setFraction(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryTargetLimit::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2202,6 +2889,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline float EntryLoad::Reader::getSlowdown() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float EntryLoad::Builder::getSlowdown() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntryLoad::Builder::setSlowdown(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryCopy::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -83,6 +83,7 @@
     row.setTarget(entry.target.value);
     row.setRunning(static_cast<std::uint16_t>(entry.load.running));
     row.setWaiting(static_cast<std::uint16_t>(entry.load.waiting));
+    row.setSlowdown(static_cast<float>(entry.load.slowdown.value_or(0)));
   }
 }
 
@@ -95,8 +96,11 @@
         {TargetId(ToStdString(row.getTarget())), ToStdString(row.getValue())});
   }
   for (const auto row : from.getLoads()) {
-    to.loads.push_back({TargetId(ToStdString(row.getTarget())),
-                        {row.getRunning(), row.getWaiting()}});
+    ReportedLoad load{row.getRunning(), row.getWaiting()};
+    if (row.getSlowdown() > 0) {
+      load.slowdown = row.getSlowdown();
+    }
+    to.loads.push_back({TargetId(ToStdString(row.getTarget())), load});
   }
 }
 
@@ -182,6 +186,69 @@
   }
 }
 
+void WriteFreshness(wire::EntryMessage::Builder to, const EntryMessage& from) {
+  auto queries = to.initFreshnessQueries(
+      static_cast<unsigned>(from.freshness_queries.size()));
+  unsigned index = 0;
+  for (const FreshnessQuery& query : from.freshness_queries) {
+    queries.set(index++, query.id);
+  }
+  auto replies = to.initFreshnessReplies(
+      static_cast<unsigned>(from.freshness_replies.size()));
+  index = 0;
+  for (const FreshnessReply& reply : from.freshness_replies) {
+    auto row = replies[index++];
+    row.setId(reply.id);
+    row.setVersion(reply.version.value);
+    row.setHash(reply.hash);
+    row.setAgeMs(ToWireMilliseconds(reply.age));
+  }
+}
+
+void ReadFreshness(wire::EntryMessage::Reader from, EntryMessage& to) {
+  for (const std::uint64_t id : from.getFreshnessQueries()) {
+    to.freshness_queries.push_back({id});
+  }
+  for (const auto row : from.getFreshnessReplies()) {
+    to.freshness_replies.push_back(
+        {row.getId(), ConfigVersion{row.getVersion()}, row.getHash(),
+         milliseconds(row.getAgeMs())});
+  }
+}
+
+void WriteQuotas(wire::EntryMessage::Builder to, const EntryMessage& from) {
+  auto usage =
+      to.initQuotaUsage(static_cast<unsigned>(from.quota_usage.size()));
+  unsigned index = 0;
+  for (const QuotaUsage& used : from.quota_usage) {
+    auto row = usage[index++];
+    row.setWorkspace(used.workspace.value);
+    row.setAsked(used.asked);
+    row.setSent(used.sent);
+  }
+  auto limits =
+      to.initQuotaLimits(static_cast<unsigned>(from.quota_limits.size()));
+  index = 0;
+  for (const QuotaLimit& limit : from.quota_limits) {
+    auto row = limits[index++];
+    row.setWorkspace(limit.workspace.value);
+    row.setFraction(limit.fraction);
+  }
+  to.setQuotaEpoch(from.quota_epoch);
+}
+
+void ReadQuotas(wire::EntryMessage::Reader from, EntryMessage& to) {
+  for (const auto row : from.getQuotaUsage()) {
+    to.quota_usage.push_back({WorkspaceId(ToStdString(row.getWorkspace())),
+                              row.getAsked(), row.getSent()});
+  }
+  for (const auto row : from.getQuotaLimits()) {
+    to.quota_limits.push_back(
+        {WorkspaceId(ToStdString(row.getWorkspace())), row.getFraction()});
+  }
+  to.quota_epoch = from.getQuotaEpoch();
+}
+
 void WriteLists(wire::EntryMessage::Builder to, const EntryMessage& from) {
   auto demand = to.initDemand(static_cast<unsigned>(from.demand.size()));
   unsigned index = 0;
@@ -206,6 +273,8 @@
   WriteStrikes(to, from);
   WriteLimits(to, from);
   WritePermits(to, from);
+  WriteFreshness(to, from);
+  WriteQuotas(to, from);
 }
 
 EntryMessage Read(wire::EntryMessage::Reader from) {
@@ -232,6 +301,8 @@
   ReadStrikes(from, read);
   ReadLimits(from, read);
   ReadPermits(from, read);
+  ReadFreshness(from, read);
+  ReadQuotas(from, read);
   return read;
 }
 
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -1,6 +1,7 @@
 #ifndef SRC_GATEWAY_ENTRY_MESSAGE_H_
 #define SRC_GATEWAY_ENTRY_MESSAGE_H_
 
+#include <chrono>
 #include <optional>
 #include <span>
 #include <string>
@@ -51,6 +52,38 @@
   std::chrono::milliseconds delay{0};
 };
 
+/// Asks another entry how fresh its configuration is.
+struct FreshnessQuery {
+  /// Drawn by the sender; the reply repeats it.
+  std::uint64_t id = 0;
+};
+
+/// Answers a `FreshnessQuery`.
+struct FreshnessReply {
+  std::uint64_t id = 0;
+  ConfigVersion version;
+  /// Hash of the text of the configuration.
+  std::uint64_t hash = 0;
+  /// Time since the version was known to be the newest one.
+  std::chrono::milliseconds age{0};
+};
+
+/// The units of a quota that an entry has counted since it started.
+struct QuotaUsage {
+  WorkspaceId workspace;
+  /// Units that callers asked for.
+  double asked = 0;
+  /// Units that were passed on.
+  double sent = 0;
+};
+
+/// The part of a workspace's demand that entries may pass on.
+struct QuotaLimit {
+  WorkspaceId workspace;
+  /// From 0 to 1.
+  double fraction = 1;
+};
+
 /// One datagram between two entries.
 struct EntryMessage {
   HostId host;
@@ -78,12 +111,22 @@
   std::vector<TargetLimitReport> limits;
   std::vector<PermitRequest> permit_requests;
   std::vector<PermitReply> permit_replies;
+  std::vector<FreshnessQuery> freshness_queries;
+  std::vector<FreshnessReply> freshness_replies;
+  std::vector<QuotaUsage> quota_usage;
+  /// From the lease holder: the workspaces that may not pass on all of their
+  /// demand.
+  std::vector<QuotaLimit> quota_limits;
+  /// Grows with each change of the limits under one lease; 0 if the message has
+  /// no limits, not even an empty list.
+  std::uint64_t quota_epoch = 0;
 
   /// Returns whether the message is about the state of its sender, such as
   /// the lease. Those about crashes and limits are not.
   [[nodiscard]] bool IsAboutSender() const {
     return this->strikes.empty() && this->limits.empty() &&
-           this->permit_requests.empty() && this->permit_replies.empty();
+           this->permit_requests.empty() && this->permit_replies.empty() &&
+           this->freshness_queries.empty() && this->freshness_replies.empty();
   }
 };
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,7 +1,9 @@
 #ifndef SRC_GATEWAY_GATEWAY_H_
 #define SRC_GATEWAY_GATEWAY_H_
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "gateway/caller_server.h"
@@ -25,6 +27,12 @@
 
 namespace pimentospar {
 
+/// Parts that a deployment asks for in its settings.
+struct GatewayFeatures {
+  /// Requests wait for and select targets by their predicted cost.
+  bool predicted_cost = false;
+};
+
 /// Identity, addresses and time limits of one entry.
 struct GatewaySettings {
   HostId host;
@@ -49,6 +57,10 @@
   /// Time after an outage of the log within which live targets whose
   /// registrations expired during the outage have registered again.
   std::chrono::milliseconds registration_recovery_time{2000};
+  /// Time after which no request with a revoked key may be accepted; nothing if
+  /// the deployment sets no bound.
+  std::optional<std::chrono::milliseconds> revoke_time;
+  GatewayFeatures features;
 };
 
 /// The platform-specific implementations that a gateway uses.
@@ -168,6 +180,8 @@
   EntryTransport entry_transport;
   LeaseManager lease;
   RateLimitCoordinator rate_limits;
+  AccessControl access;
+  QuotaLimiter quotas;
   OrderDispatcher order_dispatcher;
   StrikeExchange strike_exchange;
   ListenerList grace_time_ended;
--- a/src/gateway/protocol.h
+++ b/src/gateway/protocol.h
@@ -24,6 +24,12 @@
   CopyRef copy;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_tokens = 0;
+  /// True if the caller has named the numbers of tokens.
+  bool has_token_counts = false;
+  /// The caller's estimate of the number of output tokens.
+  std::optional<std::uint32_t> output_hint;
+  /// The caller's key; empty if it sent none.
+  std::string api_key;
   /// Prefixes of the prompt that other requests may share, shortest first. The
   /// last block of the prompt is specific to this request and is left out.
   std::vector<PrefixBlock> prefix;
@@ -41,6 +47,11 @@
   /// Time that is left for the request.
   std::chrono::milliseconds deadline{0};
   std::optional<std::uint64_t> last_event;
+  /// Workspace that sends the request; empty if none is known.
+  WorkspaceId workspace;
+  /// Rank of the request, 0 is the most urgent; nothing for the target's
+  /// default.
+  std::optional<std::uint32_t> priority;
 };
 
 /// Fields parsed from the headers of a target's response.
@@ -77,6 +88,9 @@
                                     const AttemptMeta& attempt) const = 0;
   /// Returns whether callers may not pass this header to a target.
   [[nodiscard]] virtual bool IsReserved(std::string_view name) const = 0;
+  /// Returns whether the header holds the caller's key, which no target gets
+  /// where the configuration has workspaces.
+  [[nodiscard]] virtual bool IsCredential(std::string_view name) const = 0;
   /// Parses the headers of a response; `target` is the target that the request
   /// was sent to.
   [[nodiscard]] virtual ResponseMeta ParseResponse(
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -22,6 +22,7 @@
 // event.
 constexpr std::chrono::milliseconds kEventTimeout{1500};
 constexpr unsigned kMisdirectedRequest = 421;
+constexpr unsigned kTooManyRequestsStatus = 429;
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
 std::string_view PathOf(std::string_view target) {
@@ -78,6 +79,17 @@
   if (!this->FindRoute()) {
     return this->RefuseNotFound();
   }
+  if (const auto denied = this->Authenticate()) {
+    return this->RefuseAccess(*denied);
+  }
+  if (const auto exceeded = this->Charge()) {
+    return this->Refuse(kTooManyRequestsStatus, Reason::kQuotaExceeded,
+                        exceeded->retry_after);
+  }
+  return this->Serve();
+}
+
+bool RequestHandler::Serve() {
   this->deps.retry_budget.OnRequest(this->service);
   this->body = std::make_shared<const std::string>(
       std::move(this->request.message.body()));
@@ -94,6 +106,10 @@
                             [this] { this->OnCausesChanged(); });
   const Subscription grace_time_end(this->deps.grace_time_ended,
                                     [this] { this->OnGraceTimeEnd(); });
+  return this->RunAttempts();
+}
+
+bool RequestHandler::RunAttempts() {
   AttemptStatus attempt_status = AttemptStatus::kNotSent;
   Reason reason = Reason::kNoTarget;
   while (true) {
@@ -160,20 +176,25 @@
 
 std::string RequestHandler::BuildRequestHead(const Attempt& attempt) const {
   const auto& message = this->request.message;
+  const bool hides_keys = !this->table->Config().workspaces.empty();
   std::string head;
   head.append(message.method_string())
       .append(" ")
       .append(message.target())
       .append(" HTTP/1.1\r\n");
-  AppendEndToEndHeaders(head, message.base(), [this](std::string_view name) {
-    return this->deps.protocol.IsReserved(name) ||
-           boost::beast::iequals(name, "Expect");
-  });
+  AppendEndToEndHeaders(
+      head, message.base(), [this, hides_keys](std::string_view name) {
+        return this->deps.protocol.IsReserved(name) ||
+               (hides_keys && this->deps.protocol.IsCredential(name)) ||
+               boost::beast::iequals(name, "Expect");
+      });
   this->deps.protocol.AppendAttemptHeaders(
       head, {attempt.target.target,
              std::chrono::duration_cast<std::chrono::milliseconds>(
                  this->RemainingTime()),
-             this->forwarder.LastEvent()});
+             this->forwarder.LastEvent(),
+             this->workspace == nullptr ? WorkspaceId() : this->workspace->id,
+             this->TargetPriority()});
   const bool has_body = !this->body->empty() ||
                         message.count(http::field::content_length) > 0 ||
                         message.count(http::field::transfer_encoding) > 0;
@@ -209,6 +230,9 @@
   if (this->forwarder.HasStarted()) {
     this->deps.metrics.Count(CountedEvent::kStreamResumed);
   }
+  if (this->send_count == 0 && this->charged_units > 0) {
+    this->deps.quotas.OnSent(this->workspace->id, this->charged_units);
+  }
   ++this->send_count;
   this->last_target = attempt.target.target;
   this->current_exchange = attempt.exchange.get();
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -14,6 +14,8 @@
 #include "gateway/response_forwarder.h"
 #include "gateway/upstream.h"
 #include "net/metrics.h"
+#include "pimentospar/access/access_control.h"
+#include "pimentospar/quota/quota_limiter.h"
 #include "pimentospar/reason.h"
 #include "pimentospar/routing/route_table.h"
 #include "pimentospar/routing/shared_retry_budget.h"
@@ -35,6 +37,8 @@
   CopyDemandTracker& copy_demand;
   CrashTracker& crashes;
   RateLimitCoordinator& rate_limits;
+  AccessControl& access;
+  QuotaLimiter& quotas;
   Metrics& metrics;
   /// Called when the process exits soon: what has not ended gets its final
   /// response now.
@@ -45,9 +49,11 @@
   std::function<std::size_t()> entry_count;
 };
 
-/// Handles one request of a caller: selects a target, waits for a missing copy,
-/// retries where the route allows it and forwards the response. The response to
-/// a failed request tells truthfully whether the request may have run.
+/// Handles one request of a caller in steps: authenticates it, charges it to
+/// the quota of its workspace, selects a target (after waiting for a missing
+/// copy), sends it, retries where the route allows it, forwards the response
+/// and settles the outcome. The response to a failed request tells truthfully
+/// whether the request may have run.
 class RequestHandler {
  public:
   RequestHandler(RequestDependencies& deps,
@@ -87,6 +93,16 @@
   };
 
   [[nodiscard]] bool FindRoute();
+  /// Finds the workspace that sends the request; nothing if the request may go
+  /// on.
+  [[nodiscard]] std::optional<AccessDenied> Authenticate();
+  /// Charges the request to the quota of its workspace; nothing if the request
+  /// may go on.
+  [[nodiscard]] std::optional<QuotaExceeded> Charge();
+  /// Serves a request that may run: selects targets until one responds.
+  bool Serve();
+  /// Selects a target, sends the request to it and retries as allowed.
+  bool RunAttempts();
   /// Sets the fingerprints by which the request is known when it is sent again.
   void IdentifyRequest();
   /// Returns whether the request is refused because it would crash its target.
@@ -134,6 +150,10 @@
   /// unless this entry ended it.
   [[nodiscard]] Reason ReasonOfBreak(Reason by_target) const;
   [[nodiscard]] std::string BuildRequestHead(const Attempt& attempt) const;
+  /// Returns the rank of the request, 0 is the most urgent.
+  [[nodiscard]] std::uint32_t Rank() const;
+  /// Returns the rank that the target is told, if it is told one.
+  [[nodiscard]] std::optional<std::uint32_t> TargetPriority() const;
   [[nodiscard]] Duration FirstByteTimeout(const SelectedTarget& target) const;
   /// Returns the outcome that is recorded for the target of the attempt.
   [[nodiscard]] static AttemptOutcome ToAttemptOutcome(
@@ -163,6 +183,8 @@
   bool Finish(AttemptStatus attempt_status, Reason reason);
   bool RefuseNotReady();
   bool RefuseNotFound();
+  /// Refuses a request that has not been authenticated.
+  bool RefuseAccess(const AccessDenied& denied);
   /// Refuses a request that no target could take. `Retry-After` depends on the
   /// cause, such as the load of a copy.
   bool RefuseWithoutTarget();
@@ -189,6 +211,10 @@
   std::shared_ptr<const RouteTable> table;
   const RouteSpec* route = nullptr;
   ServiceId service;
+  /// Null if the request names no workspace.
+  const WorkspaceSpec* workspace = nullptr;
+  /// Units of the quota that the request is charged with; 0 if none.
+  double charged_units = 0;
   RequestMeta meta;
   /// What crashes of targets may be attributed to: the shared parts of the
   /// prompt, and the request, the most specific fingerprint last.
--- a/src/reason.cc
+++ b/src/reason.cc
@@ -122,6 +122,12 @@
     ReasonInfo{kTargetsLimited, "targets_limited", 503,
                "The targets take no more requests per second",
                "Try again after Retry-After."},
+    ReasonInfo{kQuotaExceeded, "quota_exceeded", 429,
+               "The workspace has used its quota",
+               "Try again after Retry-After."},
+    ReasonInfo{kConfigStale, "config_stale", 503,
+               "The entry cannot prove that its configuration is current",
+               "Try again at another entry."},
 };
 
 constexpr bool TableIsOrdered() {
--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -142,6 +142,8 @@
   EntryTransport transport{
       Loop(),      clock, {boost::asio::ip::make_address("127.0.0.1"), 0},
       HostId("h"), {1},   [](const EntryMessage&) {}};
+  AccessControl access;
+  QuotaLimiter quotas;
   RateLimitCoordinator rate_limits{Loop(), clock, random, transport,
                                    HostId("h")};
   std::shared_ptr<const RouteTable> table;
@@ -158,6 +160,8 @@
                            copy_demand,
                            crashes,
                            rate_limits,
+                           access,
+                           quotas,
                            metrics,
                            grace_time_ended,
                            [this] { return this->table; },
