Refuse keys that may have been revoked, and tell requests apart by workspace

Cause: a key was looked up in whatever configuration an entry had. An entry that is frozen or cut off from the log would have accepted a revoked key for any time. Crash fingerprints did not tell workspaces apart.

Change: a key table by digest in RouteTable; ConfigFreshness with the proof of how fresh the configuration is, from own reads and from the replies of other entries; FreshnessExchange for the queries; read timing of the configuration, readiness and the log line config_stale. The workspace is part of the fingerprints of a request and its prompt parts. The key is discarded after the check.

--- a/include/pimentospar/access/access_control.h
+++ b/include/pimentospar/access/access_control.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <variant>
 
+#include "pimentospar/access/config_freshness.h"
 #include "pimentospar/access/workspace.h"
 #include "pimentospar/clock.h"
 #include "pimentospar/reason.h"
@@ -26,13 +27,19 @@
 };
 using AccessDecision = std::variant<AccessGranted, AccessDenied>;
 
-/// Decides which workspace sends a request, by its key.
+/// Decides which workspace sends a request, by its key. Without a proof that
+/// the configuration is fresh, no request that needs a key may go on.
 class AccessControl {
  public:
+  explicit AccessControl(ConfigFreshness& freshness) : freshness(freshness) {}
+
   /// The result refers to `table`.
   [[nodiscard]] AccessDecision Check(const RouteTable& table,
                                      const RouteSpec& route,
                                      std::string_view key) const;
+
+ private:
+  ConfigFreshness& freshness;
 };
 
 }  // namespace pimentospar
--- a/include/pimentospar/fingerprint.h
+++ b/include/pimentospar/fingerprint.h
@@ -29,6 +29,11 @@
 /// besides.
 [[nodiscard]] Fingerprint FingerprintOfPromptPart(std::string_view part_id);
 
+/// Returns the fingerprint of something when a workspace sends it, so that what
+/// the workspaces send is told apart. Without a workspace, it is unchanged.
+[[nodiscard]] Fingerprint FingerprintInWorkspace(Fingerprint fingerprint,
+                                                 const WorkspaceId& workspace);
+
 /// Returns a fingerprint in hexadecimal, as log lines show it.
 [[nodiscard]] std::string ToHex(Fingerprint fingerprint);
 /// Returns fingerprints in hexadecimal, separated by commas.
@@ -45,13 +50,15 @@
   /// Fingerprints of the parts of its prompt, in order; the last one may be new
   /// each time.
   std::span<const Fingerprint> prompt_parts;
+  /// Workspace that sends the request; empty if none is known.
+  WorkspaceId workspace;
 };
 
 /// Returns the fingerprints by which an HTTP request is known when it is sent
 /// again, the most specific one last. The first covers method, host, path and
-/// body; the next ones add the query and the shared parts of the prompt, and
-/// then its last part, if there are such. Other requests may have the first
-/// ones and complete.
+/// body, and the workspace if one is known; the next ones add the query and the
+/// shared parts of the prompt, and then its last part, if there are such. Other
+/// requests may have the first ones and complete.
 [[nodiscard]] std::vector<Fingerprint> FingerprintsOfRequest(
     const HttpRequestContent& content);
 
--- a/include/pimentospar/routing/route_table.h
+++ b/include/pimentospar/routing/route_table.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pimentospar/access/key_table.h"
 #include "pimentospar/access/workspace.h"
 #include "pimentospar/types.h"
 
@@ -123,10 +124,14 @@
                                        std::string_view path) const;
   /// Returns null for an unknown service.
   [[nodiscard]] const ServiceSpec* FindService(const ServiceId& service) const;
+  /// Returns the workspace that a key belongs to, or null.
+  [[nodiscard]] const WorkspaceSpec* FindWorkspace(
+      const KeyDigest& digest) const;
   [[nodiscard]] const RoutingConfig& Config() const { return this->config; }
 
  private:
   RoutingConfig config;
+  KeyTable keys;
 };
 
 /// Selects a service in proportion to its weight; `draw` is a random number in
--- a/src/access/access_control.cc
+++ b/src/access/access_control.cc
@@ -1,26 +1,26 @@
 #include "pimentospar/access/access_control.h"
 
-#include <algorithm>
-
 namespace pimentospar {
 
 AccessDecision AccessControl::Check(const RouteTable& table,
                                     const RouteSpec& route,
                                     std::string_view key) const {
-  const auto& workspaces = table.Config().workspaces;
-  if (workspaces.empty()) {
+  if (table.Config().workspaces.empty()) {
     return AccessGranted{};
   }
-  const KeyDigest digest = DigestOfKey(key);
-  for (const WorkspaceSpec& workspace : workspaces) {
-    if (std::ranges::find(workspace.keys, digest) != workspace.keys.end()) {
-      return AccessGranted{&workspace, route.requires_key};
+  if (!this->freshness.IsFresh()) {
+    // A key that may have been revoked identifies no workspace.
+    if (!route.requires_key) {
+      return AccessGranted{nullptr, false};
     }
+    return AccessDenied{Reason::kConfigStale, this->freshness.RetryAfter()};
   }
-  if (!route.requires_key) {
-    return AccessGranted{};
+  const WorkspaceSpec* workspace =
+      key.empty() ? nullptr : table.FindWorkspace(DigestOfKey(key));
+  if (workspace == nullptr && route.requires_key) {
+    return AccessDenied{Reason::kUnauthorized, std::nullopt};
   }
-  return AccessDenied{Reason::kUnauthorized, std::nullopt};
+  return AccessGranted{workspace, route.requires_key};
 }
 
 }  // namespace pimentospar
--- a/src/fingerprint.cc
+++ b/src/fingerprint.cc
@@ -107,6 +107,13 @@
   return HashTexts({"prompt part", part_id});
 }
 
+Fingerprint FingerprintInWorkspace(Fingerprint fingerprint,
+                                   const WorkspaceId& workspace) {
+  return workspace.IsEmpty()
+             ? fingerprint
+             : Narrow(fingerprint, "workspace " + workspace.value);
+}
+
 std::string ToHex(Fingerprint fingerprint) {
   std::array<char, 16> digits{};
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
@@ -129,8 +136,9 @@
       std::min(content.target.find('?'), content.target.size());
   const std::string_view path = content.target.substr(0, query_at);
   const std::string_view query = content.target.substr(query_at);
-  std::vector<Fingerprint> fingerprints = {
-      HashTexts({"http", content.method, content.host, path, content.body})};
+  std::vector<Fingerprint> fingerprints = {FingerprintInWorkspace(
+      HashTexts({"http", content.method, content.host, path, content.body}),
+      content.workspace)};
   const auto parts = content.prompt_parts;
   const auto shared = parts.first(parts.empty() ? 0 : parts.size() - 1);
   if (!query.empty() || !shared.empty()) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -78,23 +78,20 @@
               this->metrics,
               [this] { return this->HoldsLease(); }),
       registration_feed(clock),
+      freshness(clock, random, settings.revoke_time),
       config_watcher(loop,
                      clock,
                      random,
                      platform.log,
                      {std::string(platform.registry.ConfigStream()),
-                      [this] {
-                        return this->HasFreshFeed()
-                                   ? this->SafetyPollTiming()
-                                   : PollTiming{kConfigReadWait, {}};
-                      }},
-                     {[this](const auto& all) {
-                        for (const KeyedItem& item : all.items) {
-                          this->OnConfig(item);
-                        }
-                      },
+                      [this] { return this->ConfigPollTiming(); }},
+                     {[this](const auto& all) { this->OnAllConfig(all); },
                       [this](const KeyedItem& item) { this->OnConfig(item); },
-                      {}}),
+                      {},
+                      [this](TimePoint began_at) {
+                        this->freshness.OnOwnRead(began_at,
+                                                  this->newest_config);
+                      }}),
       target_watcher(
           loop,
           clock,
@@ -132,6 +129,14 @@
             platform.log,
             MakeLeaseOptions(settings)),
       rate_limits(loop, clock, random, this->entry_transport, settings.host),
+      freshness_exchange(loop,
+                         clock,
+                         random,
+                         this->freshness,
+                         this->entry_transport,
+                         {[this] { return this->HoldsLease(); },
+                          [this] { this->config_watcher.PollNow(); }}),
+      access(this->freshness),
       order_dispatcher(loop,
                        clock,
                        this->lease,
@@ -208,11 +213,13 @@
   this->loop.SpawnDuty("updates", [this] { this->RunUpdates(); });
   this->strike_exchange.Start();
   this->rate_limits.Start();
+  this->freshness_exchange.Start();
 }
 
 bool Gateway::IsReady() const {
   return !this->draining && this->caller_server.IsListening() &&
-         this->routes != nullptr && this->target_watcher.HasSynced();
+         this->routes != nullptr && this->target_watcher.HasSynced() &&
+         this->freshness.IsFresh();
 }
 
 bool Gateway::Respond(CallerRequest& request,
@@ -237,8 +244,48 @@
   return version > current || (version == current && hash != this->config_hash);
 }
 
+void Gateway::OnAllConfig(const KeyedSnapshot& all) {
+  this->newest_config.reset();
+  for (const KeyedItem& item : all.items) {
+    this->OnConfig(item);
+  }
+}
+
+// While the proof is recent, the lease holder announces new configurations.
+PollTiming Gateway::ConfigPollTiming() const {
+  const bool is_required = this->freshness.IsRequired();
+  if (is_required && (this->HoldsLease() || this->freshness.ShouldRead())) {
+    return {{}, this->freshness.ReadInterval()};
+  }
+  if (this->HasFreshFeed()) {
+    return this->SafetyPollTiming();
+  }
+  // A read that waits for a change proves nothing about the time that it waits.
+  return is_required ? PollTiming{{}, kConfigReadWait}
+                     : PollTiming{kConfigReadWait, {}};
+}
+
+void Gateway::ApplyConfig(RoutingConfig config, const KeyedItem& item) {
+  const CallerLimits limits = config.limits;
+  this->routes = std::make_shared<const RouteTable>(std::move(config));
+  this->freshness.OnConfig(*this->newest_config,
+                           !this->routes->Config().workspaces.empty());
+  this->caller_server.SetLimits(limits);
+  this->order_dispatcher.OnRoutes(this->routes);
+  this->metrics.Count(CountedEvent::kConfigApplied);
+  LogInfo("config_applied",
+          {{"version", this->routes->Config().version.value},
+           {"offset", item.offset.value},
+           {"routes", this->routes->Config().routes.size()},
+           {"workspaces", this->routes->Config().workspaces.size()}});
+}
+
 void Gateway::OnConfig(const KeyedItem& item) {
-  if (item.key != this->platform.registry.ConfigKey() || !item.value) {
+  if (item.key != this->platform.registry.ConfigKey()) {
+    return;
+  }
+  this->newest_config.reset();
+  if (!item.value) {
     return;
   }
   leaf::try_handle_all(
@@ -246,19 +293,11 @@
         BOOST_LEAF_AUTO(config,
                         this->platform.registry.DecodeConfig(*item.value));
         const std::uint64_t hash = Hash64(*item.value);
-        if (!this->IsNewConfig(config.version, hash)) {
-          return {};
+        this->newest_config = {config.version, hash};
+        if (this->IsNewConfig(config.version, hash)) {
+          this->config_hash = hash;
+          this->ApplyConfig(std::move(config), item);
         }
-        this->config_hash = hash;
-        const CallerLimits limits = config.limits;
-        this->routes = std::make_shared<const RouteTable>(std::move(config));
-        this->caller_server.SetLimits(limits);
-        this->order_dispatcher.OnRoutes(this->routes);
-        this->metrics.Count(CountedEvent::kConfigApplied);
-        LogInfo("config_applied",
-                {{"version", this->routes->Config().version.value},
-                 {"offset", item.offset.value},
-                 {"routes", this->routes->Config().routes.size()}});
         return {};
       },
       [&](const FormatError& error) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/copy_demand_tracker.h"
 #include "gateway/crash_tracker.h"
 #include "gateway/entry_transport.h"
+#include "gateway/freshness_exchange.h"
 #include "gateway/keyed_stream_watcher.h"
 #include "gateway/lease_manager.h"
 #include "gateway/listener_list.h"
@@ -115,7 +116,10 @@
   /// Reads all streams at once, since one of them shows that the log was
   /// restored from an older copy.
   void ReadRestoredLog();
+  void OnAllConfig(const KeyedSnapshot& all);
   void OnConfig(const KeyedItem& item);
+  void ApplyConfig(RoutingConfig config, const KeyedItem& item);
+  [[nodiscard]] PollTiming ConfigPollTiming() const;
   /// Returns whether a configuration replaces the one in force: a later
   /// version, or another text under the same one, which a restored log has lost
   /// and given out again.
@@ -174,12 +178,17 @@
   std::shared_ptr<const RouteTable> routes;
   /// Hash of the text of the configuration that is in force.
   std::uint64_t config_hash = 0;
+  /// The newest configuration that was read, even if it is not in force;
+  /// nothing if it cannot be used.
+  std::optional<ConfigIdentity> newest_config;
+  ConfigFreshness freshness;
   KeyedStreamWatcher config_watcher;
   KeyedStreamWatcher target_watcher;
   KeyedStreamWatcher entry_watcher;
   EntryTransport entry_transport;
   LeaseManager lease;
   RateLimitCoordinator rate_limits;
+  FreshnessExchange freshness_exchange;
   AccessControl access;
   QuotaLimiter quotas;
   OrderDispatcher order_dispatcher;
--- a/src/gateway/gateway_messages.cc
+++ b/src/gateway/gateway_messages.cc
@@ -115,6 +115,7 @@
 void Gateway::OnMessage(const EntryMessage& message) {
   this->crashes.Import(message.strikes);
   this->rate_limits.OnMessage(message);
+  this->freshness_exchange.OnMessage(message);
   for (const TargetInventory& entry : message.inventories) {
     this->targets.OnInventory(entry.target, entry.inventory,
                               InventorySource::kPlanner);
--- a/src/gateway/keyed_stream_watcher.cc
+++ b/src/gateway/keyed_stream_watcher.cc
@@ -119,7 +119,14 @@
                         static_cast<std::uint64_t>(backoff.count()))));
 }
 
+void KeyedStreamWatcher::ReportCurrent(TimePoint began_at) {
+  if (this->callbacks.on_current) {
+    this->callbacks.on_current(began_at);
+  }
+}
+
 LogStatus KeyedStreamWatcher::ReadAll() {
+  const TimePoint began_at = this->clock.Now();
   KeyedSnapshot all;
   std::optional<LogOffset> end;
   LogEra era_of_pages;
@@ -162,10 +169,12 @@
   // it.
   this->OnReadSucceeded(all.after_restore);
   this->callbacks.on_full_read(all);
+  this->ReportCurrent(began_at);
   return LogStatus::kDone;
 }
 
 LogStatus KeyedStreamWatcher::ReadChanges() {
+  const TimePoint began_at = this->clock.Now();
   const LogRead read = this->log.Read(this->options.stream, this->next,
                                       this->options.timing().wait);
   if (read.status != LogStatus::kDone) {
@@ -187,6 +196,9 @@
                                  {"end", read.end.value}});
     this->needs_full_read = true;
   }
+  if (read.end == this->next) {
+    this->ReportCurrent(began_at);
+  }
   return LogStatus::kDone;
 }
 
--- a/src/gateway/keyed_stream_watcher.h
+++ b/src/gateway/keyed_stream_watcher.h
@@ -45,6 +45,10 @@
   /// Called when the log answers again after failed reads, or was restored
   /// since the last one; may be unset.
   std::function<void()> on_recovered;
+  /// Called after each read that reached the end of the stream, once its
+  /// changes were reported, with the time at which the read began: the known
+  /// values were the newest ones then. May be unset.
+  std::function<void(TimePoint)> on_current;
 };
 
 /// Watches the newest value of each key of a stream. It first reads all pages
@@ -82,6 +86,7 @@
   [[nodiscard]] LogStatus ReadChanges();
   void Apply(const KeyedItem& item);
   void OnReadSucceeded(bool was_restored = false);
+  void ReportCurrent(TimePoint began_at);
   void OnReadFailed(LogStatus status);
 
   FiberLoop& loop;
--- a/src/gateway/request_handler_access.cc
+++ b/src/gateway/request_handler_access.cc
@@ -13,6 +13,7 @@
 std::optional<AccessDenied> RequestHandler::Authenticate() {
   const AccessDecision decision =
       this->deps.access.Check(*this->table, *this->route, this->meta.api_key);
+  this->meta.api_key.clear();
   if (const auto* denied = std::get_if<AccessDenied>(&decision)) {
     return *denied;
   }
--- a/src/gateway/request_handler_crash.cc
+++ b/src/gateway/request_handler_crash.cc
@@ -18,13 +18,18 @@
 
 void RequestHandler::IdentifyRequest() {
   const auto& message = this->request.message;
-  const std::vector<Fingerprint>& parts = this->meta.prompt_parts;
+  const WorkspaceId workspace =
+      this->workspace == nullptr ? WorkspaceId() : this->workspace->id;
+  std::vector<Fingerprint> parts;
+  for (const Fingerprint part : this->meta.prompt_parts) {
+    parts.push_back(FingerprintInWorkspace(part, workspace));
+  }
   if (!parts.empty()) {
     this->fingerprints.assign(parts.begin(), std::prev(parts.end()));
   }
   std::ranges::copy(
       FingerprintsOfRequest({message.method_string(), this->route->host,
-                             message.target(), *this->body, parts}),
+                             message.target(), *this->body, parts, workspace}),
       std::back_inserter(this->fingerprints));
 }
 
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -27,7 +27,8 @@
   return found == this->models.end() ? nullptr : &*found;
 }
 
-RouteTable::RouteTable(RoutingConfig config) : config(std::move(config)) {
+RouteTable::RouteTable(RoutingConfig config)
+    : config(std::move(config)), keys(this->config.workspaces) {
   // Longest prefix first, so that the first match is the longest.
   std::ranges::stable_sort(
       this->config.routes, std::ranges::greater(),
@@ -51,6 +52,11 @@
   return found == this->config.services.end() ? nullptr : &*found;
 }
 
+const WorkspaceSpec* RouteTable::FindWorkspace(const KeyDigest& digest) const {
+  const auto found = this->keys.Find(digest);
+  return found ? &this->config.workspaces[*found] : nullptr;
+}
+
 const ServiceId* ChooseService(const RouteSpec& route, double draw) {
   const std::uint64_t total = std::accumulate(
       route.services.begin(), route.services.end(), std::uint64_t{0},
--- a/test/fingerprint_test.cc
+++ b/test/fingerprint_test.cc
@@ -66,5 +66,24 @@
   BOOST_TEST(FingerprintsOfRequest(with({})).size() == 1U);
 }
 
+// Guards against the refusal of a workspace's request for the crashes of
+// another one, and against other fingerprints of requests without a workspace.
+BOOST_AUTO_TEST_CASE(RequestIsAnotherOneByItsWorkspace) {
+  const std::vector<Fingerprint> prompt = {{1}, {2}};
+  HttpRequestContent request{"POST", "h", "/p?q", "body", prompt};
+  const HttpRequestContent without = request;
+  request.workspace = WorkspaceId("a");
+  HttpRequestContent other = request;
+  other.workspace = WorkspaceId("b");
+  BOOST_TEST(SharedCount(request, request) == 3U);
+  BOOST_TEST(SharedCount(request, other) == 0U);
+  BOOST_TEST(SharedCount(request, without) == 0U);
+  const Fingerprint part = FingerprintOfPromptPart("p");
+  BOOST_TEST((FingerprintInWorkspace(part, {}) == part));
+  BOOST_TEST((FingerprintInWorkspace(part, WorkspaceId("a")) != part));
+  BOOST_TEST((FingerprintInWorkspace(part, WorkspaceId("a")) !=
+              FingerprintInWorkspace(part, WorkspaceId("b"))));
+}
+
 }  // namespace
 }  // namespace pimentospar
--- a/test/gateway/fleet.h
+++ b/test/gateway/fleet.h
@@ -1,7 +1,9 @@
 #ifndef TEST_GATEWAY_FLEET_H_
 #define TEST_GATEWAY_FLEET_H_
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,7 @@
   LogRead Read(std::string_view stream,
                LogOffset from,
                milliseconds wait) override {
+    ++this->reads[std::string(stream)];
     return this->cut ? LogRead{} : this->log.Read(stream, from, wait);
   }
   KeyedPage ReadLatestValues(std::string_view stream,
@@ -57,6 +60,8 @@
   }
 
   bool cut = false;
+  /// Number of reads of each stream.
+  std::map<std::string, std::size_t> reads;
 
  private:
   MemoryLog& log;
@@ -86,6 +91,7 @@
     settings.processor_cores = cores;
     settings.targets_check_leases = true;
     settings.grace_time = grace_time;
+    settings.revoke_time = this->revoke_time;
     this->views.push_back(std::make_unique<CuttableLog>(this->log));
     this->gateways.push_back(std::make_unique<Gateway>(
         Loop(), this->timers, this->pool, this->clock, this->random, settings,
@@ -125,6 +131,8 @@
   platform::PlatformHeaders headers;
   platform::PlatformRegistryFormat registry{{}};
   std::vector<std::unique_ptr<Gateway>> gateways;
+  /// Time to revoke keys of the entries that start from now on.
+  std::optional<milliseconds> revoke_time;
 };
 
 }  // namespace pimentospar::test
--- a/test/gateway/keyed_stream_watcher_test.cc
+++ b/test/gateway/keyed_stream_watcher_test.cc
@@ -22,6 +22,7 @@
   std::map<std::string, std::string> values;
   std::size_t full_reads = 0;
   std::size_t recoveries = 0;
+  std::vector<TimePoint> current_reads;
   std::unique_ptr<KeyedStreamWatcher> watcher;
 
   static Fixture& Create() {
@@ -51,7 +52,10 @@
                              this->values.erase(item.key);
                            }
                          },
-                         [this] { ++this->recoveries; }});
+                         [this] { ++this->recoveries; },
+                         [this](TimePoint began_at) {
+                           this->current_reads.push_back(began_at);
+                         }});
     this->watcher->Start();
   }
 
@@ -114,6 +118,23 @@
   BOOST_TEST(fixture.watcher->HasSynced());
 }
 
+// Guards against a read that counts as proof of what the log held when it
+// ended: a change may have been made while it waited.
+BOOST_AUTO_TEST_CASE(ReportsWhenAReadBegan) {
+  Fixture& fixture = Fixture::Create();
+  fixture.log.down = true;
+  fixture.Start();
+  BOOST_TEST(Eventually([&] { return fixture.log.calls > 1; }));
+  BOOST_TEST(fixture.current_reads.empty());
+  fixture.log.down = false;
+  fixture.Set("a", "1");
+  BOOST_TEST(Eventually([&] { return fixture.current_reads.size() >= 3; }));
+  BOOST_TEST(fixture.values["a"] == "1");
+  // Reads that wait for 20 ms are reported after they end.
+  BOOST_TEST(
+      (fixture.clock.Now() - fixture.current_reads.back() >= milliseconds(20)));
+}
+
 // After a long outage, a read of all missed records can exceed its time limit
 // on every attempt, so that the watcher must read the newest values instead.
 BOOST_AUTO_TEST_CASE(ReadsTheNewestValuesAfterALongOutage) {
--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -72,8 +72,10 @@
 /// An entry with scripted targets of one service that has no engine.
 class HandlerFixture {
  public:
-  HandlerFixture()
-      : server(Loop(),
+  explicit HandlerFixture(
+      std::optional<std::chrono::milliseconds> revoke_time = std::nullopt)
+      : freshness(this->clock, this->random, revoke_time),
+        server(Loop(),
                this->timers,
                this->clock,
                Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
@@ -142,7 +144,8 @@
   EntryTransport transport{
       Loop(),      clock, {boost::asio::ip::make_address("127.0.0.1"), 0},
       HostId("h"), {1},   [](const EntryMessage&) {}};
-  AccessControl access;
+  ConfigFreshness freshness;
+  AccessControl access{freshness};
   QuotaLimiter quotas;
   RateLimitCoordinator rate_limits{Loop(), clock, random, transport,
                                    HostId("h")};
