Limit the workspaces to their quotas over all entries

Cause: quotas of workspaces were read from the configuration but not applied.

Change: QuotaLimiter counts and admits at each entry, UsageReporter decides when an entry reports, QuotaLedger accounts and computes the admitted fractions at the lease holder, LimitPublisher decides when it sends them, QuotaExchange sends and receives. Messages about quotas are no longer taken as the state of their sender, so that they may overtake others.

--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "pimentospar/planning/copy_planner.h"
+#include "pimentospar/quota/quota_usage.h"
 #include "pimentospar/routing/target_limits.h"
 #include "pimentospar/routing/target_selector.h"
 #include "pimentospar/strike.h"
@@ -68,22 +69,6 @@
   std::chrono::milliseconds age{0};
 };
 
-/// The units of a quota that an entry has counted since it started.
-struct QuotaUsage {
-  WorkspaceId workspace;
-  /// Units that callers asked for.
-  double asked = 0;
-  /// Units that were passed on.
-  double sent = 0;
-};
-
-/// The part of a workspace's demand that entries may pass on.
-struct QuotaLimit {
-  WorkspaceId workspace;
-  /// From 0 to 1.
-  double fraction = 1;
-};
-
 /// One datagram between two entries.
 struct EntryMessage {
   HostId host;
@@ -122,11 +107,12 @@
   std::uint64_t quota_epoch = 0;
 
   /// Returns whether the message is about the state of its sender, such as
-  /// the lease. Those about crashes and limits are not.
+  /// the lease. Those about crashes, limits and quotas are not.
   [[nodiscard]] bool IsAboutSender() const {
     return this->strikes.empty() && this->limits.empty() &&
            this->permit_requests.empty() && this->permit_replies.empty() &&
-           this->freshness_queries.empty() && this->freshness_replies.empty();
+           this->freshness_queries.empty() && this->freshness_replies.empty() &&
+           this->quota_usage.empty() && this->quota_epoch == 0;
   }
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -132,6 +132,14 @@
             platform.log,
             MakeLeaseOptions(settings)),
       rate_limits(loop, clock, random, this->entry_transport, settings.host),
+      quotas(clock, random),
+      quota_exchange(loop,
+                     clock,
+                     random,
+                     this->entry_transport,
+                     this->quotas,
+                     {settings.host, this->instance,
+                      [this] { return this->lease.Held(); }}),
       order_dispatcher(loop,
                        clock,
                        this->lease,
@@ -187,14 +195,16 @@
                                         this->IsReady() ? kOk : kUnavailable,
                                         "");
                        }),
-      operator_server(loop,
-                      timers,
-                      clock,
-                      settings.operator_address,
-                      [this](CallerRequest& request, CallerChannel& channel) {
-                        return Respond(request, channel, kOk,
-                                       this->metrics.Render());
-                      }) {}
+      operator_server(
+          loop,
+          timers,
+          clock,
+          settings.operator_address,
+          [this](CallerRequest& request, CallerChannel& channel) {
+            return Respond(
+                request, channel, kOk,
+                this->metrics.Render() + this->quota_exchange.RenderMetrics());
+          }) {}
 
 void Gateway::Start() {
   this->config_watcher.Start();
@@ -208,6 +218,7 @@
   this->loop.SpawnDuty("updates", [this] { this->RunUpdates(); });
   this->strike_exchange.Start();
   this->rate_limits.Start();
+  this->quota_exchange.Start();
 }
 
 bool Gateway::IsReady() const {
@@ -254,6 +265,7 @@
         this->routes = std::make_shared<const RouteTable>(std::move(config));
         this->caller_server.SetLimits(limits);
         this->order_dispatcher.OnRoutes(this->routes);
+        this->quota_exchange.OnConfig(this->routes->Config().workspaces);
         this->metrics.Count(CountedEvent::kConfigApplied);
         LogInfo("config_applied",
                 {{"version", this->routes->Config().version.value},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/lease_manager.h"
 #include "gateway/listener_list.h"
 #include "gateway/order_dispatcher.h"
+#include "gateway/quota_exchange.h"
 #include "gateway/rate_limit_coordinator.h"
 #include "gateway/registration_feed.h"
 #include "gateway/registry_format.h"
@@ -182,6 +183,7 @@
   RateLimitCoordinator rate_limits;
   AccessControl access;
   QuotaLimiter quotas;
+  QuotaExchange quota_exchange;
   OrderDispatcher order_dispatcher;
   StrikeExchange strike_exchange;
   ListenerList grace_time_ended;
--- a/src/gateway/gateway_messages.cc
+++ b/src/gateway/gateway_messages.cc
@@ -113,6 +113,9 @@
 }
 
 void Gateway::OnMessage(const EntryMessage& message) {
+  if (this->quota_exchange.OnMessage(message)) {
+    return;
+  }
   this->crashes.Import(message.strikes);
   this->rate_limits.OnMessage(message);
   for (const TargetInventory& entry : message.inventories) {
--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -143,7 +143,7 @@
       Loop(),      clock, {boost::asio::ip::make_address("127.0.0.1"), 0},
       HostId("h"), {1},   [](const EntryMessage&) {}};
   AccessControl access;
-  QuotaLimiter quotas;
+  QuotaLimiter quotas{clock, random};
   RateLimitCoordinator rate_limits{Loop(), clock, random, transport,
                                    HostId("h")};
   std::shared_ptr<const RouteTable> table;
