Compute steadier fractions for small workspaces, and test quotas by simulation

Cause: a reserve for jumps of the demand cost small workspaces a twentieth of their quota, since the bucket overflowed.

--- a/include/pimentospar/quota/quota_ledger.h
+++ b/include/pimentospar/quota/quota_ledger.h
@@ -105,6 +105,9 @@
   [[nodiscard]] static Rate RateOver(const Account& account,
                                      Duration window,
                                      TimePoint now);
+  /// Returns the mean of the reported amounts, weighted by themselves.
+  [[nodiscard]] static double ReportUnits(const Account& account,
+                                          TimePoint now);
   [[nodiscard]] static double EstimateDemand(const Account& account,
                                              TimePoint now);
   [[nodiscard]] static double ComputeFraction(const Account& account,
--- a/include/pimentospar/quota/quota_limiter.h
+++ b/include/pimentospar/quota/quota_limiter.h
@@ -89,6 +89,9 @@
   };
 
   [[nodiscard]] bool IsHolderSilent(TimePoint now) const;
+  /// Returns whether the lease holder has been silent for so long that another
+  /// entry must have taken its place.
+  [[nodiscard]] bool IsCutOff(TimePoint now) const;
   /// Returns whether the lease holder is silent, or has only begun to observe
   /// the demand.
   [[nodiscard]] bool IsUnsupervised(TimePoint now) const;
--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -29,6 +29,9 @@
 // before a fraction takes effect.
 constexpr double kMinReserveShare = 0.15;
 constexpr double kReserveSharePerSecond = 0.4;
+constexpr double kMaxReserveShare = 0.5;
+// There is no reserve where a bucket holds less than half as many reports.
+constexpr double kLargeReports = 8;
 // A bucket holds at least this much, since usage is reported in steps.
 constexpr Duration kMinBurstTime = std::chrono::milliseconds(300);
 // Usage that is older than the window of a quota need not be repaid.
@@ -49,10 +52,20 @@
   return std::max(quota.burst, quota.per_second * Seconds(kMinBurstTime));
 }
 
-double Reserve(const WorkspaceQuota& quota, Duration report_interval) {
+// The balance of a workspace whose requests are large for its quota varies by
+// more than a reserve, which would only be lost when the bucket overflows.
+double ReserveWeight(double report_units, double capacity) {
+  return std::clamp(2 - kLargeReports * report_units / capacity, 0.0, 1.0);
+}
+
+double Reserve(const WorkspaceQuota& quota,
+               double report_units,
+               Duration report_interval) {
+  const double capacity = std::min(Capacity(quota), quota.per_second);
   const double share =
       kMinReserveShare + kReserveSharePerSecond * Seconds(report_interval);
-  return std::min(share, 0.5) * std::min(Capacity(quota), quota.per_second);
+  return ReserveWeight(report_units, capacity) *
+         std::min(share, kMaxReserveShare) * capacity;
 }
 
 }  // namespace
@@ -191,6 +204,13 @@
   return {asked / Seconds(window), std::sqrt(squares) / Seconds(window)};
 }
 
+double QuotaLedger::ReportUnits(const Account& account, TimePoint now) {
+  const Rate rate = RateOver(account, kLongDemandWindow, now);
+  return rate.per_second > 0 ? rate.deviation * rate.deviation /
+                                   rate.per_second * Seconds(kLongDemandWindow)
+                             : 0;
+}
+
 double QuotaLedger::EstimateDemand(const Account& account, TimePoint now) {
   Rate mean = RateOver(account, kDemandWindow, now);
   if (mean.deviation > kSmallDeviation * mean.per_second) {
@@ -213,7 +233,9 @@
   const double excess =
       std::max(0.0, status.fraction * status.demand - per_second);
   const double available =
-      status.balance - Reserve(account.quota, report_interval) -
+      status.balance -
+      Reserve(account.quota, ReportUnits(account, account.updated_at),
+              report_interval) -
       excess * Seconds(kReactionTime + report_interval / 2);
   const Duration time =
       (available > 0 ? kSpendTime : kRepayTime) + report_interval / 2;
--- a/src/quota/quota_limiter.cc
+++ b/src/quota/quota_limiter.cc
@@ -18,6 +18,10 @@
 // Without the lease holder, an entry may pass on this many times as much per
 // second as before.
 constexpr double kUnsupervisedGrowth = 1.2;
+// If no other entry becomes the lease holder within this time, this entry is
+// likely cut off from it, and the others use the whole quota.
+constexpr Duration kTakeoverTime = std::chrono::milliseconds(3200);
+constexpr double kCutOffShare = 0.25;
 constexpr Duration kSentMeanTime = std::chrono::seconds(2);
 constexpr Duration kLocalBurstTime = std::chrono::milliseconds(250);
 // Weight of earlier deviations from the fraction in the next draw, so that the
@@ -72,6 +76,11 @@
          now - *this->holder_message_at > kHolderTimeout;
 }
 
+bool QuotaLimiter::IsCutOff(TimePoint now) const {
+  return this->holder_message_at &&
+         now - *this->holder_message_at > kTakeoverTime;
+}
+
 bool QuotaLimiter::IsUnsupervised(TimePoint now) const {
   return this->IsHolderSilent(now) ||
          (this->limits_at < this->holder_known_since &&
@@ -103,10 +112,10 @@
                                const WorkspaceQuota& quota,
                                double units,
                                TimePoint now) {
+  const double share =
+      quota.per_second /
+      static_cast<double>(std::max<std::size_t>(this->entry_count, 1));
   if (!state.bucket) {
-    const double share =
-        quota.per_second /
-        static_cast<double>(std::max<std::size_t>(this->entry_count, 1));
     const double sent = state.sent_per_second * Decay(now - state.sent_at);
     // All entries start their buckets at the same time. The random debt keeps
     // them from passing on their first requests together.
@@ -114,6 +123,9 @@
                                -units * this->random.NextDouble(), now};
   }
   LocalBucket& bucket = *state.bucket;
+  if (this->IsCutOff(now)) {
+    bucket.per_second = std::min(bucket.per_second, kCutOffShare * share);
+  }
   bucket.balance = std::min(
       bucket.balance + bucket.per_second * Seconds(now - bucket.updated_at),
       bucket.per_second * Seconds(kLocalBurstTime));
--- a/test/quota_simulation.h
+++ b/test/quota_simulation.h
@@ -322,8 +322,10 @@
     const TimePoint now = this->clock.Now();
     const double rate =
         caller.demand(now - this->start) / caller.mean_units * Seconds(kStep);
-    double due = rate;
-    while (this->random.NextDouble() < due) {
+    // The number of requests follows a Poisson distribution.
+    const double end = std::exp(-rate);
+    for (double product = this->random.NextDouble(); product > end;
+         product *= this->random.NextDouble()) {
       const double units = this->DrawUnits(caller);
       QuotaLimiter& limiter = *this->entries[this->DrawEntry()].limiter;
       const bool admitted = std::holds_alternative<QuotaGranted>(
@@ -332,8 +334,6 @@
         limiter.OnSent(caller.workspace.id, units);
       }
       log.items.push_back({now, units, admitted});
-      // A geometric number of requests with the mean of `rate`.
-      due = rate / (1 + rate);
     }
   }
 
