Merge the workspaces' keys and quotas

Cause: both parts add members to Gateway and to the fixture of the request handler. Change: both kept; a new configuration is passed to the quota exchange from ApplyConfig.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -137,6 +137,14 @@
                          {[this] { return this->HoldsLease(); },
                           [this] { this->config_watcher.PollNow(); }}),
       access(this->freshness),
+      quotas(clock, random),
+      quota_exchange(loop,
+                     clock,
+                     random,
+                     this->entry_transport,
+                     this->quotas,
+                     {settings.host, this->instance,
+                      [this] { return this->lease.Held(); }}),
       order_dispatcher(loop,
                        clock,
                        this->lease,
@@ -192,14 +200,16 @@
                                         this->IsReady() ? kOk : kUnavailable,
                                         "");
                        }),
-      operator_server(loop,
-                      timers,
-                      clock,
-                      settings.operator_address,
-                      [this](CallerRequest& request, CallerChannel& channel) {
-                        return Respond(request, channel, kOk,
-                                       this->metrics.Render());
-                      }) {}
+      operator_server(
+          loop,
+          timers,
+          clock,
+          settings.operator_address,
+          [this](CallerRequest& request, CallerChannel& channel) {
+            return Respond(
+                request, channel, kOk,
+                this->metrics.Render() + this->quota_exchange.RenderMetrics());
+          }) {}
 
 void Gateway::Start() {
   this->config_watcher.Start();
@@ -214,6 +224,7 @@
   this->strike_exchange.Start();
   this->rate_limits.Start();
   this->freshness_exchange.Start();
+  this->quota_exchange.Start();
 }
 
 bool Gateway::IsReady() const {
@@ -272,6 +283,7 @@
                            !this->routes->Config().workspaces.empty());
   this->caller_server.SetLimits(limits);
   this->order_dispatcher.OnRoutes(this->routes);
+  this->quota_exchange.OnConfig(this->routes->Config().workspaces);
   this->metrics.Count(CountedEvent::kConfigApplied);
   LogInfo("config_applied",
           {{"version", this->routes->Config().version.value},
--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -146,7 +146,7 @@
       HostId("h"), {1},   [](const EntryMessage&) {}};
   ConfigFreshness freshness;
   AccessControl access{freshness};
-  QuotaLimiter quotas;
+  QuotaLimiter quotas{clock, random};
   RateLimitCoordinator rate_limits{Loop(), clock, random, transport,
                                    HostId("h")};
   std::shared_ptr<const RouteTable> table;
