Make the simulation of revoked keys dense enough to find faults

Cause: the simulation advanced too far in one step and its entries were rarely able to accept a request, so that a proof without the age in a reply went unnoticed.

Change: shorter steps, longer cuts, mostly recent datagrams, 9,000 steps in each case.

Result: config_freshness_test passes. With any one of these faults put into ConfigFreshness it fails: the proof is the end of a read, the time of the reply, or the time of the query without the age; a reply of another version counts; the limit is 1.3 of the time to revoke keys.

--- a/test/config_freshness_test.cc
+++ b/test/config_freshness_test.cc
@@ -121,18 +121,20 @@
     Entry& entry = *this->entries[step.entry % kEntries];
     const std::size_t other = step.other % kEntries;
     if (step.kind < 6) {
-      this->Advance(milliseconds(20 + 40 * step.choice));
+      this->Advance(milliseconds(step.choice == 15 ? 3000 : 10 * step.choice));
     } else if (step.kind == 6) {
-      this->acknowledged.push_back(this->now);
+      if (step.choice % 4 == 0) {
+        this->acknowledged.push_back(this->now);
+      }
     } else if (step.kind == 7) {
-      entry.frozen = !entry.frozen;
+      entry.frozen = step.choice % 8 == 0;
     } else if (step.kind == 8) {
-      entry.cut = step.choice % 3 == 0;
-    } else if (step.kind == 9 && step.choice % 4 == 0) {
+      entry.cut = step.choice % 4 != 0;
+    } else if (step.kind == 9 && step.choice % 8 == 0) {
       entry.Restart(++this->restarts);
     } else if (step.kind == 10) {
       entry.clock.SetWall(WallTime(std::chrono::hours(step.choice)));
-    } else if (!entry.frozen && step.kind < 14) {
+    } else if (!entry.frozen && step.kind < 13) {
       this->ReadStep(entry);
     } else if (!entry.frozen && step.kind < 17) {
       this->messages.push_back(
@@ -217,7 +219,11 @@
     if (this->messages.empty()) {
       return;
     }
-    const std::size_t at = choice % this->messages.size();
+    // Mostly one of the newest.
+    const std::size_t from_end =
+        choice % std::min<std::size_t>(this->messages.size(), 8);
+    const std::size_t at = choice < 4 ? choice % this->messages.size()
+                                      : this->messages.size() - 1 - from_end;
     const Message message = this->messages[at];
     Entry& to = *this->entries[message.to];
     if (to.frozen) {
@@ -264,12 +270,14 @@
 BOOST_AUTO_TEST_CASE(NoRevokedKeyIsAcceptedAfterTheBound) {
   std::size_t accepted = 0;
   std::size_t proofs_by_entries = 0;
-  const auto step = rc::gen::construct<Simulation::Step>(
-      rc::gen::inRange(0, 28), rc::gen::inRange<std::size_t>(0, 3),
-      rc::gen::inRange<std::size_t>(0, 3), rc::gen::inRange(0, 16));
+  const auto step = rc::gen::resize(
+      rc::kNominalSize,
+      rc::gen::construct<Simulation::Step>(
+          rc::gen::inRange(0, 28), rc::gen::inRange<std::size_t>(0, 3),
+          rc::gen::inRange<std::size_t>(0, 3), rc::gen::inRange(0, 16)));
   const bool held = rc::check([&] {
     const auto steps =
-        *rc::gen::container<std::vector<Simulation::Step>>(3000, step);
+        *rc::gen::container<std::vector<Simulation::Step>>(9000, step);
     Simulation simulation;
     for (const Simulation::Step& next : steps) {
       RC_ASSERT(simulation.Apply(next));
