Let a lease holder without the log grant only a part of the quotas

Cause: a lease holder may continue while it does not reach the log, and another entry may have gained the lease.

Change: without the log, and hearing from under three quarters of the entries, it grants a quarter of the part that they are. Entries whose totals do not change report one of them every 2 s.

--- a/include/pimentospar/quota/quota_ledger.h
+++ b/include/pimentospar/quota/quota_ledger.h
@@ -50,6 +50,11 @@
   /// of an entry.
   void Update(Duration report_interval);
 
+  /// Uses only this part of all quotas, from 0 to 1; 1 after `Restart`. Another
+  /// lease holder may account for the rest.
+  void SetShare(double share);
+  /// Returns the number of entries that have reported recently.
+  [[nodiscard]] std::size_t ReportingEntries() const;
   /// Returns whether the demand has been observed for long enough to compute
   /// fractions.
   [[nodiscard]] bool HasLearned(Duration report_interval) const;
@@ -101,7 +106,7 @@
   [[nodiscard]] Entry* FindOrAddEntry(const UsageReport& report);
   void DropOldEntries(TimePoint now);
   void Deduct(Account& account, double asked, double sent, TimePoint now);
-  static void Refill(Account& account, TimePoint now);
+  void Refill(Account& account, TimePoint now) const;
   [[nodiscard]] static Rate RateOver(const Account& account,
                                      Duration window,
                                      TimePoint now);
@@ -110,11 +115,12 @@
                                           TimePoint now);
   [[nodiscard]] static double EstimateDemand(const Account& account,
                                              TimePoint now);
-  [[nodiscard]] static double ComputeFraction(const Account& account,
-                                              Duration report_interval);
+  [[nodiscard]] double ComputeFraction(const Account& account,
+                                       Duration report_interval) const;
 
   const Clock& clock;
   TimePoint started_at;
+  double share = 1;
   std::map<WorkspaceId, Account> accounts;
   std::map<HostId, Entry> entries;
 };
--- a/include/pimentospar/quota/usage_reporter.h
+++ b/include/pimentospar/quota/usage_reporter.h
@@ -22,8 +22,10 @@
       : clock(clock), random(random), limiter(limiter) {}
 
   /// Returns the totals to be sent now to the holder of `lease`; empty if no
-  /// report is due. The first reports to a new lease holder contain all
-  /// totals, also those that are 0, so that it can tell old usage from new.
+  /// report is due. An entry whose totals do not change reports a single one
+  /// from time to time, which shows that it reaches the lease holder. The first
+  /// reports to a new lease holder contain all totals, also those that are 0,
+  /// so that it can tell old usage from new.
   [[nodiscard]] std::vector<QuotaUsage> Take(LogOffset lease,
                                              std::size_t entry_count);
 
@@ -38,6 +40,7 @@
 
   [[nodiscard]] bool IsDue(TimePoint now, std::size_t entry_count) const;
   [[nodiscard]] std::vector<QuotaUsage> TakeChanges(Duration elapsed);
+  [[nodiscard]] std::vector<QuotaUsage> AnyTotal() const;
   /// Returns whether callers ask for far more than before the last report.
   [[nodiscard]] bool HasJump(Duration elapsed) const;
 
@@ -48,6 +51,7 @@
   int full_reports_left = 0;
   TimePoint reported_at;
   TimePoint next_report_at;
+  TimePoint sent_at;
   std::map<WorkspaceId, Reported> reported;
 };
 
--- a/src/gateway/quota_exchange.cc
+++ b/src/gateway/quota_exchange.cc
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kStepInterval{50};
 constexpr std::chrono::milliseconds kIdleInterval{500};
 constexpr std::size_t kMaxUsagePerMessage = 400;
+constexpr std::chrono::seconds kMaxLogAge{3};
+constexpr double kMinHeardShare = 0.75;
+constexpr double kCutOffShare = 0.25;
 // A workspace at its quota is limited and not limited in turns. The end of a
 // limit is logged if it has lasted for this time.
 constexpr std::chrono::seconds kRestoredTime{2};
@@ -92,6 +95,7 @@
   this->limiter.SetEntryCount(entry_count);
   this->limiter.OnHolderMessage();
   this->AccountForOwnUsage();
+  this->ledger.SetShare(this->Share(entry_count));
   this->ledger.Update(interval);
   if (!this->ledger.HasLearned(interval)) {
     return;
@@ -108,6 +112,16 @@
   }
 }
 
+// A lease holder may continue while it does not reach the log. If it hears from
+// only some of the entries, another one may have gained the lease.
+double QuotaExchange::Share(std::size_t entry_count) const {
+  const double heard = static_cast<double>(this->ledger.ReportingEntries()) /
+                       static_cast<double>(entry_count);
+  const bool may_be_replaced =
+      this->options.log_age() > kMaxLogAge && heard < kMinHeardShare;
+  return may_be_replaced ? kCutOffShare * heard : 1;
+}
+
 void QuotaExchange::AccountForOwnUsage() {
   std::vector<QuotaUsage> usage;
   this->limiter.VisitCounts(
--- a/src/gateway/quota_exchange.h
+++ b/src/gateway/quota_exchange.h
@@ -22,6 +22,8 @@
   InstanceId instance;
   /// Returns the planner's lease that this entry holds, if any.
   std::function<std::optional<LogOffset>()> held_lease;
+  /// Returns the time since this entry last read the log.
+  std::function<Duration()> log_age;
 };
 
 /// Passes the usage of the quotas from all entries to the lease holder, and its
@@ -57,6 +59,8 @@
   void StepAsHolder(LogOffset lease);
   void ReportToHolder();
   void AccountForOwnUsage();
+  /// Returns the part of the quotas that this entry may grant as lease holder.
+  [[nodiscard]] double Share(std::size_t entry_count) const;
   void OnLimits(const EntryMessage& message);
   void LogChanges();
   void LogChange(const WorkspaceId& workspace,
--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -41,6 +41,8 @@
 // Longer than the time between two requests of a small workspace at an entry.
 constexpr Duration kEntryRetention = std::chrono::minutes(10);
 constexpr std::size_t kMaxEntries = 4096;
+// Entries report at least every 2 s.
+constexpr Duration kReportingTime = std::chrono::seconds(5);
 // Smaller limits are not worth a message.
 constexpr double kNoLimitFraction = 0.999;
 
@@ -72,6 +74,7 @@
 
 void QuotaLedger::Restart() {
   this->started_at = this->clock.Now();
+  this->share = 1;
   this->entries.clear();
   for (auto& [id, account] : this->accounts) {
     account = Account{account.quota, {}, this->started_at, {}};
@@ -163,10 +166,10 @@
   }
 }
 
-void QuotaLedger::Refill(Account& account, TimePoint now) {
+void QuotaLedger::Refill(Account& account, TimePoint now) const {
   account.status.balance =
-      std::min(account.status.balance +
-                   account.quota.per_second * Seconds(now - account.updated_at),
+      std::min(account.status.balance + this->share * account.quota.per_second *
+                                            Seconds(now - account.updated_at),
                Capacity(account.quota));
   account.updated_at = now;
 }
@@ -224,12 +227,12 @@
 }
 
 double QuotaLedger::ComputeFraction(const Account& account,
-                                    Duration report_interval) {
+                                    Duration report_interval) const {
   const QuotaStatus& status = account.status;
   if (status.demand <= 0) {
     return 1;
   }
-  const double per_second = account.quota.per_second;
+  const double per_second = this->share * account.quota.per_second;
   const double excess =
       std::max(0.0, status.fraction * status.demand - per_second);
   const double available =
@@ -254,6 +257,25 @@
   }
 }
 
+void QuotaLedger::SetShare(double share) {
+  if (share == this->share) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  for (auto& [id, account] : this->accounts) {
+    this->Refill(account, now);
+  }
+  this->share = share;
+}
+
+std::size_t QuotaLedger::ReportingEntries() const {
+  const TimePoint now = this->clock.Now();
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->entries, [now](const auto& known) {
+        return now - known.second.reported_at < kReportingTime;
+      }));
+}
+
 bool QuotaLedger::HasLearned(Duration report_interval) const {
   return this->clock.Now() - this->started_at >=
          std::max(kLearnTime, kLearnReports * report_interval);
--- a/src/quota/usage_reporter.cc
+++ b/src/quota/usage_reporter.cc
@@ -18,6 +18,7 @@
 constexpr int kFullReports = 3;
 // A changed total is contained in this many further reports.
 constexpr int kRepeats = 1;
+constexpr Duration kKeepAliveInterval = std::chrono::seconds(2);
 // A jump is this many times the demand before, and this many requests more.
 constexpr double kJumpFactor = 2;
 constexpr double kJumpRequests = 4;
@@ -75,7 +76,25 @@
   const double spread = kIntervalSpread * (2 * this->random.NextDouble() - 1);
   this->reported_at = now;
   this->next_report_at = now + Scale(interval, 1 + spread);
-  return this->TakeChanges(elapsed);
+  std::vector<QuotaUsage> usage = this->TakeChanges(elapsed);
+  if (usage.empty() && now - this->sent_at >= kKeepAliveInterval) {
+    usage = this->AnyTotal();
+  }
+  if (!usage.empty()) {
+    this->sent_at = now;
+  }
+  return usage;
+}
+
+std::vector<QuotaUsage> UsageReporter::AnyTotal() const {
+  std::vector<QuotaUsage> usage;
+  this->limiter.VisitCounts(
+      [&usage](const WorkspaceId& id, const QuotaCounts& counts) {
+        if (usage.empty()) {
+          usage.push_back({id, counts.asked, counts.sent});
+        }
+      });
+  return usage;
 }
 
 std::vector<QuotaUsage> UsageReporter::TakeChanges(Duration elapsed) {
--- a/test/quota_test.cc
+++ b/test/quota_test.cc
@@ -350,6 +350,18 @@
   BOOST_TEST(this->ledger.Limits().empty());
 }
 
+// Guards against a lease holder that grants the whole quota although another
+// one may do the same.
+BOOST_FIXTURE_TEST_CASE(LedgerGrantsAShare, LedgerFixture) {
+  this->Report(1, 1, 0);
+  this->Report(1, 2, 100);
+  BOOST_TEST(this->ledger.ReportingEntries() == 1U);
+  this->ledger.SetShare(0.1);
+  this->clock.Advance(5s);
+  BOOST_TEST(this->Balance() == -50);
+  BOOST_TEST(this->ledger.ReportingEntries() == 0U);
+}
+
 // Guards against an entry that stays limited because it missed the end of a
 // limit, and against callers that come back at the same time.
 BOOST_AUTO_TEST_CASE(LimitsEndWithoutAMessage) {
