--- a/include/pimentospar/quota/quota_ledger.h
+++ b/include/pimentospar/quota/quota_ledger.h
@@ -44,7 +44,8 @@
   /// Replaces the quotas. A balance is cut to the new burst.
   void OnConfig(std::span<const WorkspaceSpec> workspaces);
   /// Accounts for what has changed since the last report of the entry. The
-  /// first totals that an unknown entry reports are its baseline.
+  /// first total of a workspace that an entry reports is its baseline, unless
+  /// the entry has just started.
   void OnReport(const UsageReport& report);
   /// Computes the fractions. `report_interval` is the time between two reports
   /// of an entry.
@@ -98,6 +99,9 @@
   struct Entry {
     InstanceId instance;
     std::optional<InstanceId> previous_instance;
+    /// Whether the instance started while the ledger knew the host, so that
+    /// none of its totals contains older usage.
+    bool counts_from_zero = false;
     TimePoint reported_at;
     std::map<WorkspaceId, Totals> totals;
   };
--- a/include/pimentospar/quota/usage_reporter.h
+++ b/include/pimentospar/quota/usage_reporter.h
@@ -25,7 +25,8 @@
   /// report is due. An entry whose totals do not change reports a single one
   /// from time to time, which shows that it reaches the lease holder. The first
   /// reports to a new lease holder contain all totals, also those that are 0,
-  /// so that it can tell old usage from new.
+  /// and later ones those of new workspaces, so that it can tell old usage from
+  /// new.
   [[nodiscard]] std::vector<QuotaUsage> Take(LogOffset lease,
                                              std::size_t entry_count);
 
--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -118,7 +118,7 @@
     }
     // A restarted entry counts from 0.
     if (entry.instance != report.instance) {
-      entry = Entry{report.instance, entry.instance, now, {}};
+      entry = Entry{report.instance, entry.instance, true, now, {}};
     }
     entry.reported_at = now;
     return &entry;
@@ -128,10 +128,7 @@
     return nullptr;
   }
   Entry& entry = this->entries[report.host];
-  entry = Entry{report.instance, std::nullopt, now, {}};
-  for (const QuotaUsage& used : report.usage) {
-    entry.totals[used.workspace] = {used.asked, used.sent, report.sequence};
-  }
+  entry = Entry{report.instance, std::nullopt, false, now, {}};
   return &entry;
 }
 
@@ -152,7 +149,12 @@
     if (account == this->accounts.end()) {
       continue;
     }
-    Totals& known = entry->totals[used.workspace];
+    const auto [row, is_first] = entry->totals.try_emplace(used.workspace);
+    Totals& known = row->second;
+    if (is_first && !entry->counts_from_zero) {
+      known = {used.asked, used.sent, report.sequence};
+      continue;
+    }
     if (report.sequence <= known.sequence) {
       continue;
     }
--- a/src/quota/usage_reporter.cc
+++ b/src/quota/usage_reporter.cc
@@ -102,20 +102,23 @@
   this->full_reports_left = std::max(this->full_reports_left - 1, 0);
   std::vector<QuotaUsage> usage;
   std::map<WorkspaceId, Reported> next;
-  this->limiter.VisitCounts([&](const WorkspaceId& id,
-                                const QuotaCounts& counts) {
-    Reported& row = next[id] = this->reported[id];
-    const bool changed = counts.asked != row.asked || counts.sent != row.sent;
-    row.repeats_left =
-        changed ? kRepeats + 1 : std::max(row.repeats_left - 1, 0);
-    if (is_full || row.repeats_left > 0) {
-      usage.push_back({id, counts.asked, counts.sent});
-    }
-    row.asked_per_second =
-        std::max(0.0, counts.asked - row.asked) / Seconds(elapsed);
-    row.asked = counts.asked;
-    row.sent = counts.sent;
-  });
+  this->limiter.VisitCounts(
+      [&](const WorkspaceId& id, const QuotaCounts& counts) {
+        const auto known = this->reported.find(id);
+        const bool is_new = known == this->reported.end();
+        Reported& row = next[id] = is_new ? Reported{} : known->second;
+        const bool changed =
+            is_new || counts.asked != row.asked || counts.sent != row.sent;
+        row.repeats_left =
+            changed ? kRepeats + 1 : std::max(row.repeats_left - 1, 0);
+        if (is_full || row.repeats_left > 0) {
+          usage.push_back({id, counts.asked, counts.sent});
+        }
+        row.asked_per_second =
+            std::max(0.0, counts.asked - row.asked) / Seconds(elapsed);
+        row.asked = counts.asked;
+        row.sent = counts.sent;
+      });
   this->reported = std::move(next);
   return usage;
 }
--- a/test/quota_test.cc
+++ b/test/quota_test.cc
@@ -350,6 +350,17 @@
   BOOST_TEST(this->ledger.Limits().empty());
 }
 
+// Guards against old usage of an entry that is taken for new because only part
+// of its totals was known before.
+BOOST_FIXTURE_TEST_CASE(LedgerTakesFirstTotalsAsBaseline, LedgerFixture) {
+  const QuotaUsage other{WorkspaceId("other"), 1, 1};
+  this->ledger.OnReport({HostId("h"), {1}, 1, std::span(&other, 1)});
+  this->Report(1, 2, 5000);
+  BOOST_TEST(this->Balance() == 0);
+  this->Report(1, 3, 5001);
+  BOOST_TEST(this->Balance() == -1);
+}
+
 // Guards against a lease holder that grants the whole quota although another
 // one may do the same.
 BOOST_FIXTURE_TEST_CASE(LedgerGrantsAShare, LedgerFixture) {
