Move the admission queue into the folders of its topic

The entry queue needs a second file on admission. Moves the header and the source of AdmissionQueue to include/pimentospar/admission/ and src/admission/ and adapts the includes; no other change.

--- a/bench/admission_runs.h
+++ b/bench/admission_runs.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <variant>
 
-#include "pimentospar/admission.h"
+#include "pimentospar/admission/admission_queue.h"
 #include "spread.h"
 
 namespace pimentospar::bench {
--- a/src/admission.cc
+++ b/src/admission/admission_queue.cc
@@ -1,4 +1,4 @@
-#include "pimentospar/admission.h"
+#include "pimentospar/admission/admission_queue.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/agent/admission_gate.h
+++ b/src/agent/admission_gate.h
@@ -8,7 +8,7 @@
 
 #include "agent/engine_client.h"
 #include "daemon/process.h"
-#include "pimentospar/admission.h"
+#include "pimentospar/admission/admission_queue.h"
 
 namespace pimentospar {
 
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE admission
-#include "pimentospar/admission.h"
+#include "pimentospar/admission/admission_queue.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
