--- a/src/admission/entry_queue.cc
+++ b/src/admission/entry_queue.cc
@@ -192,7 +192,8 @@
   ServiceQueue& queue = found->second;
   auto next = queue.reserve > 0 ? this->FindReserved(service, queue)
                                 : this->items.end();
-  if (next == this->items.end()) {
+  // The reserve has to cover the whole request.
+  if (next == this->items.end() || next->second.request.work > queue.reserve) {
     next = this->FindFirst(service, queue);
   }
   if (next == this->items.end()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/registration_feed.h"
 #include "gateway/registry_format.h"
 #include "gateway/request_handler.h"
+#include "gateway/selection_queue.h"
 #include "gateway/strike_exchange.h"
 #include "gateway/target_control.h"
 #include "gateway/timer_queue.h"
@@ -182,6 +183,7 @@
   RateLimitCoordinator rate_limits;
   AccessControl access;
   QuotaLimiter quotas;
+  SelectionQueue selection_queue;
   OrderDispatcher order_dispatcher;
   StrikeExchange strike_exchange;
   ListenerList grace_time_ended;
--- a/src/gateway/gateway_drain.cc
+++ b/src/gateway/gateway_drain.cc
@@ -31,6 +31,7 @@
   this->drain_started = start;
   this->caller_server.BeginDrain();
   this->rate_limits.BeginDrain();
+  this->selection_queue.BeginDrain();
   this->lease.StopAcquiring();
   this->loop.Spawn([this] { this->Unregister(); });
   LogInfo("drain_started",
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -95,6 +95,9 @@
       std::move(this->request.message.body()));
   this->IdentifyRequest();
   const auto cancel = [this] {
+    if (this->queue_place) {
+      this->queue_place->Interrupt();
+    }
     if (this->current_exchange != nullptr) {
       this->current_exchange->Cancel();
     }
@@ -149,6 +152,9 @@
   this->is_cut_off = true;
   this->request.close_after = true;
   this->deadline = std::min(this->deadline, this->deps.clock.Now());
+  if (this->queue_place) {
+    this->queue_place->Interrupt();
+  }
   if (this->current_exchange != nullptr) {
     this->current_exchange->Cancel();
   }
@@ -221,6 +227,7 @@
   }
   attempt.id = AttemptId{this->deps.random.Next()};
   this->deps.targets.OnSent(attempt.id, attempt.target, this->BuildQuery());
+  this->queue_place.reset();
   if (!connected) {
     // A failed connection counts as a failed attempt of the target.
     attempt.reason = Reason::kTargetUnreachable;
@@ -421,6 +428,13 @@
   }
   this->deps.targets.OnEnd(attempt.id,
                            ToAttemptOutcome(attempt_status, attempt.reason));
+  if (attempt_status == AttemptStatus::kDelivered &&
+      attempt.earlier_events == 0) {
+    this->deps.selection_queue.OnResponse(
+        this->service, this->route->name,
+        this->deps.clock.Now() - this->last_sent_at);
+  }
+  this->deps.selection_queue.OnAttemptEnd(this->service);
   if (attempt_status != AttemptStatus::kDelivered) {
     this->LogFailedAttempt(attempt);
   }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -12,6 +12,7 @@
 #include "gateway/crash_tracker.h"
 #include "gateway/rate_limit_coordinator.h"
 #include "gateway/response_forwarder.h"
+#include "gateway/selection_queue.h"
 #include "gateway/upstream.h"
 #include "net/metrics.h"
 #include "pimentospar/access/access_control.h"
@@ -39,6 +40,7 @@
   RateLimitCoordinator& rate_limits;
   AccessControl& access;
   QuotaLimiter& quotas;
+  SelectionQueue& selection_queue;
   Metrics& metrics;
   /// Called when the process exits soon: what has not ended gets its final
   /// response now.
@@ -127,6 +129,7 @@
   /// Returns the next target, after waiting for a missing copy if necessary;
   /// nothing if no target can be used in time.
   [[nodiscard]] std::optional<SelectedTarget> SelectTarget();
+  [[nodiscard]] std::optional<SelectedTarget> SelectInTurn();
   /// Acquires a permit for a target with a limit and waits until it begins;
   /// returns false if the request may not be sent to the target.
   [[nodiscard]] bool AcquirePermit(const SelectedTarget& selected);
@@ -136,6 +139,17 @@
   [[nodiscard]] bool WaitForCopy(bool model_loaded,
                                  std::optional<CopyWait>& wait);
   [[nodiscard]] bool WaitForTargetChange(Duration max_wait);
+  /// Returns whether the request shares a queue with the others of this entry
+  /// while all targets are overloaded.
+  [[nodiscard]] bool UsesQueue() const;
+  /// Returns whether other requests of the queue select a target first.
+  [[nodiscard]] bool MustQueueFirst() const;
+  [[nodiscard]] EntryRequest BuildEntryRequest() const;
+  /// Waits in the queue of the entry; returns false if it refuses the request.
+  [[nodiscard]] bool WaitInQueue();
+  /// Tells the queue whether the request was sent to a target.
+  void RecordQueueOutcome(bool served);
+  void LogQueueRefusal(const QueueRefusal& refusal) const;
   [[nodiscard]] Duration MaxLoadWait(bool model_loaded) const;
   [[nodiscard]] AttemptStatus RunAttempt(Attempt& attempt);
   [[nodiscard]] bool Connect(Attempt& attempt);
@@ -243,6 +257,11 @@
   std::optional<Duration> shortest_retry_after;
   std::uint32_t retry_after_count = 0;
   bool demand_recorded = false;
+  /// Set from when the request joins the queue of the entry until the load that
+  /// it adds to its target is known.
+  std::optional<QueuePlace> queue_place;
+  std::optional<QueueRefusal> queue_refusal;
+  bool queue_outcome_recorded = false;
   bool is_cut_off = false;
 };
 
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -81,6 +81,9 @@
 }
 
 Duration RequestHandler::RetryAfterRefusal() const {
+  if (this->queue_refusal) {
+    return this->queue_refusal->retry_after;
+  }
   if (const auto* quarantined =
           std::get_if<RefuseQuarantined>(&this->admission)) {
     return std::max(quarantined->trial_delay, Duration(kMinTrialTime));
@@ -96,6 +99,10 @@
 }
 
 bool RequestHandler::RefuseWithoutTarget() {
+  if (this->queue_refusal) {
+    return this->Refuse(kUnavailable, this->queue_refusal->reason,
+                        this->queue_refusal->retry_after);
+  }
   if (const auto* limited =
           std::get_if<AllTargetsLimited>(&this->last_selection)) {
     return this->Refuse(kUnavailable, Reason::kTargetsLimited,
@@ -112,7 +119,10 @@
              {"events", query.expected_events},
              {"shortest_ms", overloaded->shortest_completion},
              {"left_ms", query.time_left}});
-    return this->Refuse(kUnavailable, Reason::kOverloaded, kRetryAfterOverload);
+    return this->Refuse(
+        kUnavailable, Reason::kOverloaded,
+        this->UsesQueue() ? this->deps.selection_queue.RetryAfter(this->service)
+                          : Duration(kRetryAfterOverload));
   }
   const auto* missing = std::get_if<CopyNotLoaded>(&this->last_selection);
   const bool only_adapter = missing != nullptr && missing->model_loaded;
@@ -124,6 +134,11 @@
                             Reason reason,
                             std::optional<Duration> retry_after) {
   this->deps.metrics.CountRefusal(reason);
+  // Quotas and the queue give times that are spread already.
+  if (retry_after && this->UsesQueue() && reason != Reason::kQuotaExceeded &&
+      reason != Reason::kOverloaded && !this->queue_refusal) {
+    retry_after = this->deps.selection_queue.Spread(*retry_after);
+  }
   std::string head = StatusLine(status);
   if (!this->meta.id.empty()) {
     head += std::string(this->deps.protocol.RequestIdHeader()) + ": " +
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -17,7 +17,7 @@
         "log_appends_lost", "gossip_sent",        "gossip_received",
         "gossip_bytes",     "orders_sent",        "orders_unknown",
         "loads_done",       "unloads_done",       "plan_steps",
-        "targets_crashed"};
+        "targets_crashed",  "queue_refused",      "queue_evicted"};
 
 // Two bins per doubling from 0.1 ms to 419 s keep the error of a quantile below
 // 42 %.
@@ -41,6 +41,8 @@
       request_times(
           std::make_tuple(LogAxis(kTimeBins, kShortestMs, kLongestMs))),
       first_token_times(
+          std::make_tuple(LogAxis(kTimeBins, kShortestMs, kLongestMs))),
+      queue_times(
           std::make_tuple(LogAxis(kTimeBins, kShortestMs, kLongestMs))) {}
 
 void Metrics::Count(CountedEvent event, std::uint64_t amount) {
@@ -55,6 +57,15 @@
   this->first_token_times(Milliseconds(time));
 }
 
+void Metrics::RecordQueueTime(Duration time) {
+  this->queue_times(Milliseconds(time));
+}
+
+void Metrics::SetWaiting(std::size_t requests, Bytes bytes) {
+  this->waiting_requests = requests;
+  this->waiting_bytes = bytes;
+}
+
 void Metrics::RenderCounters(std::string& text,
                              std::string_view name,
                              std::string_view help,
@@ -111,6 +122,13 @@
               "Time from request to whole answer", this->request_times);
   RenderTimes(text, "pimentospar_first_token_milliseconds",
               "Time from request to first token", this->first_token_times);
+  RenderTimes(text, "pimentospar_queue_milliseconds",
+              "Time in the queue of the entry", this->queue_times);
+  text += fmt::format(
+      "# TYPE pimentospar_queue_requests gauge\n"
+      "pimentospar_queue_requests {}\n"
+      "# TYPE pimentospar_queue_bytes gauge\npimentospar_queue_bytes {}\n",
+      this->waiting_requests.load(), this->waiting_bytes.load());
   return text;
 }
 
--- a/src/net/metrics.h
+++ b/src/net/metrics.h
@@ -2,6 +2,7 @@
 #define SRC_NET_METRICS_H_
 
 #include <array>
+#include <atomic>
 #include <boost/histogram.hpp>
 #include <chrono>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "pimentospar/clock.h"
 #include "pimentospar/reason.h"
+#include "pimentospar/types.h"
 
 namespace pimentospar {
 
@@ -40,6 +42,8 @@
   kUnloadDone,
   kPlanStep,
   kTargetCrashed,
+  kQueueRefused,
+  kQueueEvicted,
   kCount,
 };
 
@@ -54,6 +58,11 @@
   void Count(CountedEvent event, std::uint64_t amount);
   void RecordRequestTime(Duration time);
   void RecordFirstTokenTime(Duration time);
+  /// A request has left the queue of the entry after `time`.
+  void RecordQueueTime(Duration time);
+  /// Sets the number and the total size of the requests that wait in the queue
+  /// of the entry.
+  void SetWaiting(std::size_t requests, Bytes bytes);
 
   /// Returns all metrics in the Prometheus text format.
   [[nodiscard]] std::string Render() const;
@@ -84,6 +93,9 @@
   Counters events;
   Times request_times;
   Times first_token_times;
+  Times queue_times;
+  std::atomic<std::size_t> waiting_requests = 0;
+  std::atomic<Bytes> waiting_bytes = 0;
 };
 
 }  // namespace pimentospar
--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -144,6 +144,13 @@
       HostId("h"), {1},   [](const EntryMessage&) {}};
   AccessControl access;
   QuotaLimiter quotas;
+  SelectionQueue selection_queue{Loop(),
+                                 clock,
+                                 random,
+                                 targets_changed,
+                                 metrics,
+                                 false,
+                                 EntryQueueOptions{.max_length = 8}};
   RateLimitCoordinator rate_limits{Loop(), clock, random, transport,
                                    HostId("h")};
   std::shared_ptr<const RouteTable> table;
@@ -162,6 +169,7 @@
                            rate_limits,
                            access,
                            quotas,
+                           selection_queue,
                            metrics,
                            grace_time_ended,
                            [this] { return this->table; },
