Put bursts after the other workspaces and describe the queue

The queue now learns the usual load of each workspace; requests far above it come after all ranks and do not count for the least share. The rank is sent to targets wherever the queue is enabled.

--- a/include/pimentospar/admission/entry_queue.h
+++ b/include/pimentospar/admission/entry_queue.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "pimentospar/admission/served_shares.h"
+#include "pimentospar/admission/usual_load.h"
 #include "pimentospar/clock.h"
 #include "pimentospar/random.h"
 #include "pimentospar/reason.h"
@@ -64,6 +65,9 @@
   /// True if the caller has received a part of the response; such a request is
   /// not removed as long as its deadline has not passed.
   bool has_begun = false;
+  /// True if the request is part of a burst far above the usual load of its
+  /// workspace; it is less urgent than all others.
+  bool in_excess = false;
 };
 
 /// Why a request was refused.
@@ -124,8 +128,13 @@
              RandomSource& random,
              const EntryQueueOptions& options);
 
+  /// Records a request that arrived; returns whether it is part of a burst far
+  /// above the usual load of its workspace.
+  [[nodiscard]] bool OnArrival(const WorkspaceId& workspace, double work) {
+    return !workspace.IsEmpty() && this->usual_load.Record(workspace, work);
+  }
   /// Queues or refuses a request; may remove less urgent ones.
-  QueueDecision Offer(const EntryRequest& request);
+  QueueDecision Offer(EntryRequest request);
   /// Returns whether a new request must not select a target before requests
   /// that wait.
   [[nodiscard]] bool MustWait(const EntryRequest& request) const;
@@ -145,13 +154,14 @@
 
   /// Removes the requests that can no longer end in time.
   void RemoveExpired();
-  /// Removes and refuses all requests.
-  void RemoveAll(QueueRefusalCause cause);
+  /// Removes and refuses all requests, and refuses those that are offered from
+  /// now on.
+  void BeginDrain();
   /// Returns the requests that were removed since the last call.
   std::vector<RemovedRequest> TakeRemoved();
 
-  /// A request that arrived was sent to a target for the first time, or
-  /// refused.
+  /// A request that arrived, and is not in excess, was sent to a target for the
+  /// first time, or refused.
   void OnOutcome(const WorkspaceId& workspace, bool served) {
     this->shares.Record(workspace, served);
   }
@@ -222,6 +232,7 @@
     Bytes bytes = 0;
   };
 
+  [[nodiscard]] bool HasPrecedence(const EntryRequest& request) const;
   [[nodiscard]] Position PositionOf(const ServiceQueue& queue,
                                     const EntryRequest& request) const;
   [[nodiscard]] bool MayTry(const ServiceQueue& queue, const Item& item) const;
@@ -259,7 +270,9 @@
   std::map<std::pair<ServiceId, std::string>, Duration> min_service_times;
   std::vector<RemovedRequest> removed;
   ServedShares shares;
+  UsualLoad usual_load;
   Bytes bytes = 0;
+  bool draining = false;
 };
 
 }  // namespace pimentospar
--- a/src/admission/entry_queue.cc
+++ b/src/admission/entry_queue.cc
@@ -26,9 +26,15 @@
 constexpr double kServiceTimeGain = 0.2;
 // Some requests of a route are shorter than the quantile.
 constexpr double kServiceTimeShare = 0.8;
+// Requests in excess of the usual load come after all ranks.
+constexpr std::uint32_t kExcessRank = 1 << 16;
 constexpr double kMinRetrySpread = 0.5;
 constexpr double kMaxUpwardSpread = 0.5;
 
+std::uint32_t EffectiveRank(const EntryRequest& request) {
+  return request.rank % kExcessRank + (request.in_excess ? kExcessRank : 0);
+}
+
 }  // namespace
 
 std::string_view ToString(QueueRefusalCause cause) {
@@ -50,7 +56,11 @@
 EntryQueue::EntryQueue(const Clock& clock,
                        RandomSource& random,
                        const EntryQueueOptions& options)
-    : clock(clock), random(random), options(options), shares(clock) {}
+    : clock(clock),
+      random(random),
+      options(options),
+      shares(clock),
+      usual_load(clock) {}
 
 const EntryRequest* EntryQueue::Find(QueueTicket ticket) const {
   const auto found = this->items.find(ticket);
@@ -79,10 +89,15 @@
 
 // The order of requests.
 
+// The promise of a least share does not extend to bursts.
+bool EntryQueue::HasPrecedence(const EntryRequest& request) const {
+  return !request.in_excess && this->shares.IsUnderserved(request.workspace);
+}
+
 EntryQueue::Position EntryQueue::PositionOf(const ServiceQueue& queue,
                                             const EntryRequest& request) const {
   Position position;
-  position.precedence = this->shares.IsUnderserved(request.workspace) ? 0 : 1;
+  position.precedence = this->HasPrecedence(request) ? 0 : 1;
   position.rank = request.rank;
   const auto rank = queue.ranks.find(request.rank);
   if (rank != queue.ranks.end()) {
@@ -98,8 +113,8 @@
 
 bool EntryQueue::MustWait(const EntryRequest& request) const {
   const auto urgency = [this](const EntryRequest& each) {
-    return std::pair(this->shares.IsUnderserved(each.workspace) ? 0 : 1,
-                     each.rank);
+    return std::pair<int, std::uint32_t>(this->HasPrecedence(each) ? 0 : 1,
+                                         EffectiveRank(each));
   };
   if (this->Waiting(request.service) == 0) {
     return false;
@@ -123,7 +138,7 @@
   return blocked == queue.blocked_below.end() ||
          request.rank <= blocked->second ||
          this->clock.Now() - queue.last_selected > this->options.max_stall ||
-         this->shares.IsUnderserved(request.workspace);
+         this->HasPrecedence(request);
 }
 
 EntryQueue::Items::iterator EntryQueue::FindFirst(const ServiceId& service,
@@ -159,7 +174,7 @@
   for (auto it = this->items.begin(); it != this->items.end(); ++it) {
     const EntryRequest& request = it->second.request;
     if (request.service != service || request.rank == most_urgent ||
-        it->second.tried_round >= queue.round ||
+        request.in_excess || it->second.tried_round >= queue.round ||
         queue.blocked_kinds.contains(
             {request.workspace, request.model, request.route})) {
       continue;
@@ -256,7 +271,11 @@
 
 // Arrival and removal.
 
-QueueDecision EntryQueue::Offer(const EntryRequest& request) {
+QueueDecision EntryQueue::Offer(EntryRequest request) {
+  if (this->draining) {
+    return this->Refusal(request, QueueRefusalCause::kDraining);
+  }
+  request.rank = EffectiveRank(request);
   this->RemoveExpired();
   const Duration left = request.deadline - this->clock.Now();
   const Duration min_time = this->MinServiceTime(request);
@@ -264,8 +283,7 @@
     return this->Refusal(request, QueueRefusalCause::kPredictedLate);
   }
   const auto wait = this->PredictWait(request);
-  if (wait && !request.has_begun &&
-      !this->shares.IsUnderserved(request.workspace) &&
+  if (wait && !request.has_begun && !this->HasPrecedence(request) &&
       *wait > Scale(left - min_time, kDoubtFactor)) {
     return this->Refusal(request, QueueRefusalCause::kPredictedLate);
   }
@@ -356,9 +374,10 @@
   }
 }
 
-void EntryQueue::RemoveAll(QueueRefusalCause cause) {
+void EntryQueue::BeginDrain() {
+  this->draining = true;
   while (!this->items.empty()) {
-    this->Remove(this->items.begin(), cause);
+    this->Remove(this->items.begin(), QueueRefusalCause::kDraining);
   }
 }
 
@@ -397,7 +416,7 @@
 bool EntryQueue::IsLessUrgent(const Item& item,
                               const EntryRequest& newcomer) const {
   const EntryRequest& request = item.request;
-  if (request.has_begun || (this->shares.IsUnderserved(request.workspace) &&
+  if (request.has_begun || (this->HasPrecedence(request) &&
                             request.workspace != newcomer.workspace)) {
     return false;
   }
@@ -459,7 +478,7 @@
 
 // Returns the waiting work that goes before a new request.
 double EntryQueue::WorkAhead(const EntryRequest& request) const {
-  if (this->shares.IsUnderserved(request.workspace)) {
+  if (this->HasPrecedence(request)) {
     return 0;
   }
   double ahead = 0;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -145,6 +145,10 @@
   /// Returns whether other requests of the queue select a target first.
   [[nodiscard]] bool MustQueueFirst() const;
   [[nodiscard]] EntryRequest BuildEntryRequest() const;
+  /// Returns the predicted work of the request; only ratios matter.
+  [[nodiscard]] double PredictedWork() const;
+  /// Tells the queue of the entry that the request has arrived.
+  void RecordArrival();
   /// Waits in the queue of the entry; returns false if it refuses the request.
   [[nodiscard]] bool WaitInQueue();
   /// Tells the queue whether the request was sent to a target.
@@ -262,6 +266,9 @@
   std::optional<QueuePlace> queue_place;
   std::optional<QueueRefusal> queue_refusal;
   bool queue_outcome_recorded = false;
+  /// Whether the request is part of a burst of its workspace; nothing before
+  /// its arrival is recorded.
+  std::optional<bool> in_excess;
   bool is_cut_off = false;
 };
 
--- a/src/gateway/request_handler_access.cc
+++ b/src/gateway/request_handler_access.cc
@@ -58,7 +58,7 @@
 }
 
 std::optional<std::uint32_t> RequestHandler::TargetPriority() const {
-  if (this->table->Config().workspaces.empty()) {
+  if (!this->UsesQueue()) {
     return std::nullopt;
   }
   return this->Rank();
--- a/src/gateway/request_handler_select.cc
+++ b/src/gateway/request_handler_select.cc
@@ -48,6 +48,7 @@
 
 std::optional<SelectedTarget> RequestHandler::SelectInTurn() {
   std::optional<CopyWait> wait;
+  this->RecordArrival();
   if (this->MustQueueFirst() && !this->WaitInQueue()) {
     return std::nullopt;
   }
@@ -104,6 +105,21 @@
          this->deps.selection_queue.MustWait(this->BuildEntryRequest());
 }
 
+double RequestHandler::PredictedWork() const {
+  const std::uint32_t output =
+      this->meta.output_hint.value_or(kTypicalOutputTokens);
+  return 1.0 + this->meta.prompt_tokens +
+         kOutputTokenWeight * std::min(this->meta.max_tokens, output);
+}
+
+void RequestHandler::RecordArrival() {
+  if (this->in_excess || this->workspace == nullptr || !this->UsesQueue()) {
+    return;
+  }
+  this->in_excess = this->deps.selection_queue.OnArrival(this->workspace->id,
+                                                         this->PredictedWork());
+}
+
 EntryRequest RequestHandler::BuildEntryRequest() const {
   EntryRequest entry;
   if (this->workspace != nullptr) {
@@ -114,11 +130,9 @@
   const ServiceSpec* spec = this->table->FindService(this->service);
   if (spec != nullptr && spec->engine) {
     entry.model = this->meta.copy.model;
-    const std::uint32_t output =
-        this->meta.output_hint.value_or(kTypicalOutputTokens);
-    entry.work = 1.0 + this->meta.prompt_tokens +
-                 kOutputTokenWeight * std::min(this->meta.max_tokens, output);
   }
+  entry.work = this->PredictedWork();
+  entry.in_excess = this->in_excess.value_or(false);
   entry.route = this->route->name;
   entry.received_at = this->received_at;
   entry.goal_at = this->received_at + this->route->latency_goal;
@@ -156,7 +170,8 @@
 }
 
 void RequestHandler::RecordQueueOutcome(bool served) {
-  if (this->workspace != nullptr && !this->queue_outcome_recorded) {
+  if (this->workspace != nullptr && !this->queue_outcome_recorded &&
+      !this->in_excess.value_or(false)) {
     this->queue_outcome_recorded = true;
     this->deps.selection_queue.OnOutcome(this->workspace->id, served);
   }
@@ -170,6 +185,7 @@
            {"workspace",
             this->workspace == nullptr ? "" : this->workspace->id.value},
            {"rank", this->Rank()},
+           {"excess", this->in_excess.value_or(false) ? 1 : 0},
            {"backlog", refusal.backlog},
            {"predicted_ms",
             refusal.predicted_wait.value_or(std::chrono::milliseconds(-1))},
--- a/src/gateway/selection_queue.cc
+++ b/src/gateway/selection_queue.cc
@@ -51,8 +51,7 @@
 }
 
 void SelectionQueue::BeginDrain() {
-  this->draining = true;
-  this->queue.RemoveAll(QueueRefusalCause::kDraining);
+  this->queue.BeginDrain();
   this->OnRemoved();
 }
 
@@ -134,14 +133,6 @@
     : queue(queue),
       request(std::move(request)),
       waiting_since(queue.clock.Now()) {
-  if (queue.draining) {
-    QueueRefusal refusal;
-    refusal.cause = QueueRefusalCause::kDraining;
-    refusal.reason = Reason::kDraining;
-    refusal.retry_after = queue.queue.Spread(std::chrono::milliseconds(250));
-    this->waiter.refusal = refusal;
-    return;
-  }
   const QueueDecision decision = queue.queue.Offer(this->request);
   if (const auto* refused = std::get_if<QueueRefusal>(&decision)) {
     queue.metrics.Count(CountedEvent::kQueueRefused);
--- a/src/gateway/selection_queue.h
+++ b/src/gateway/selection_queue.h
@@ -43,6 +43,11 @@
   [[nodiscard]] bool MustWait(const EntryRequest& request) const {
     return this->queue.MustWait(request);
   }
+  /// Records a request that arrived; returns whether it is part of a burst far
+  /// above the usual load of its workspace.
+  [[nodiscard]] bool OnArrival(const WorkspaceId& workspace, double work) {
+    return this->queue.OnArrival(workspace, work);
+  }
   /// An attempt at a target of the service ended, so that it has more room.
   void OnAttemptEnd(const ServiceId& service);
   void OnResponse(const ServiceId& service,
@@ -50,8 +55,8 @@
                   Duration duration) {
     this->queue.OnResponse(service, route, duration);
   }
-  /// A request that arrived was sent to a target for the first time, or
-  /// refused.
+  /// A request that arrived, and is not in excess, was sent to a target for the
+  /// first time, or refused.
   void OnOutcome(const WorkspaceId& workspace, bool served) {
     this->queue.OnOutcome(workspace, served);
   }
@@ -92,7 +97,6 @@
   /// The request of each service that has its turn.
   std::map<ServiceId, QueueTicket> turns;
   bool observing = false;
-  bool draining = false;
   bool stopping = false;
 };
 
--- a/test/entry_queue_test.cc
+++ b/test/entry_queue_test.cc
@@ -258,9 +258,9 @@
       ++(served == "lower" ? lower_served : urgent_served);
     }
   }
-  const double all =
-      double(lower_served + urgent_served) / double(lower_asked + urgent_asked);
-  const double lower = double(lower_served) / lower_asked;
+  const double all = static_cast<double>(lower_served + urgent_served) /
+                     (lower_asked + urgent_asked);
+  const double lower = static_cast<double>(lower_served) / lower_asked;
   BOOST_TEST_MESSAGE("all " << all << ", lower " << lower);
   BOOST_TEST(lower >= all / 4);
   BOOST_TEST(urgent_served > lower_served);
@@ -289,13 +289,38 @@
   BOOST_TEST(this->queue.TakeRemoved().empty());
 }
 
+// Guards against an urgent workspace whose burst delays all less urgent ones,
+// and against one that is put last because it sends its few requests
+// irregularly.
+BOOST_FIXTURE_TEST_CASE(PutsABurstAfterTheOthers, Fixture) {
+  const WorkspaceId workspace("a");
+  for (int i = 0; i < 60; ++i) {
+    BOOST_TEST(!this->queue.OnArrival(workspace, 1));
+    this->clock.Advance(milliseconds(i % 2 == 0 ? 100 : 900));
+  }
+  EntryRequest usual = this->Request("a", 0);
+  EntryRequest excess = usual;
+  for (int i = 0; i < 30 && !excess.in_excess; ++i) {
+    excess.in_excess = this->queue.OnArrival(workspace, 1);
+  }
+  BOOST_TEST(excess.in_excess);
+  this->Add(excess);
+  BOOST_TEST(!this->queue.MustWait(this->Request("b", 3)));
+  const QueueTicket other = this->Add(this->Request("b", 3));
+  const QueueTicket first = this->Add(usual);
+  BOOST_TEST(this->queue.NextTurn(kService)->value == first.value);
+  BOOST_TEST(this->queue.NextTurn(kService)->value == other.value);
+}
+
 BOOST_FIXTURE_TEST_CASE(ADrainRefusesAll, Fixture) {
   this->Add(this->Request("a"));
   this->Add(this->Request("b", 3));
-  this->queue.RemoveAll(QueueRefusalCause::kDraining);
+  this->queue.BeginDrain();
   const auto removed = this->queue.TakeRemoved();
   BOOST_REQUIRE(removed.size() == 2U);
   BOOST_TEST((removed[0].refusal.reason == Reason::kDraining));
+  BOOST_TEST(
+      (this->CauseOf(this->Request("a")) == QueueRefusalCause::kDraining));
   BOOST_TEST(this->queue.Waiting() == 0U);
 }
 
--- a/test/gateway/selection_queue_test.cc
+++ b/test/gateway/selection_queue_test.cc
@@ -50,7 +50,7 @@
     (void)this->targets.Select({});
     this->targets.OnTarget(description);
     for (int i = 0; overloaded && i < 300; ++i) {
-      this->targets.OnEvent(TargetId("t"), std::chrono::seconds(30));
+      this->targets.OnEvent(TargetId("t"), std::chrono::hours(1));
     }
   }
 
