Test the queue where only predicted costs enable it

The queue and the rank that targets are told depend on workspaces or on features.predicted_cost; only the first was tested. The fixture can now enable the second, and selection_queue_test checks order and priority header.

--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -72,8 +72,9 @@
 /// An entry with scripted targets of one service that has no engine.
 class HandlerFixture {
  public:
-  HandlerFixture()
-      : server(Loop(),
+  explicit HandlerFixture(bool predicted_cost = false)
+      : predicted_cost(predicted_cost),
+        server(Loop(),
                this->timers,
                this->clock,
                Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
@@ -126,6 +127,7 @@
     return text + "\r\n" + std::string(body);
   }
 
+  bool predicted_cost;
   SystemClock clock;
   SeededRandom random{3};
   TimerQueue timers{Loop(), clock};
@@ -149,7 +151,7 @@
                                  random,
                                  targets_changed,
                                  metrics,
-                                 false,
+                                 predicted_cost,
                                  EntryQueueOptions{.max_length = 8}};
   RateLimitCoordinator rate_limits{Loop(), clock, random, transport,
                                    HostId("h")};
--- a/test/gateway/selection_queue_test.cc
+++ b/test/gateway/selection_queue_test.cc
@@ -26,7 +26,8 @@
 // An entry with a configuration that has workspaces. Its one target is
 // overloaded while the interval of its events is long.
 struct QueueFixture : test::HandlerFixture {
-  QueueFixture() : target(SendStream) {
+  explicit QueueFixture(bool predicted_cost = false)
+      : test::HandlerFixture(predicted_cost), target(SendStream) {
     RoutingConfig config = this->table->Config();
     config.workspaces.resize(1);
     config.workspaces[0].id = WorkspaceId("w");
@@ -142,5 +143,27 @@
   BOOST_TEST(this->selection_queue.Waiting() == 0U);
 }
 
+struct PredictedCostFixture : QueueFixture {
+  PredictedCostFixture() : QueueFixture(true) {
+    RoutingConfig config = this->table->Config();
+    config.workspaces.clear();
+    this->table = std::make_shared<const RouteTable>(config);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(QueuesWithoutWorkspacesForPredictedCost,
+                        PredictedCostFixture) {
+  const auto last = this->Call("/rank2/last", 1);
+  const auto first = this->Call("/rank1/first", 2);
+  this->SetOverloaded(false);
+  this->targets_changed.NotifyAll();
+  last->ReadAll();
+  first->ReadAll();
+  BOOST_REQUIRE(this->target.Requests().size() == 2U);
+  const std::string& sent = this->target.Requests()[0];
+  BOOST_TEST(Contains(sent, "/rank1/first"), sent);
+  BOOST_TEST(Contains(sent, "X-Pimentospar-Req-Priority: 1\r\n"), sent);
+}
+
 }  // namespace
 }  // namespace pimentospar
