Merge the queue of waiting requests

Cause: the queue, the keys and the quotas add members to Gateway and to the fixture of the request handler. Change: all are kept; the fixture takes the time to revoke keys and the switch for predicted costs.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/registration_feed.h"
 #include "gateway/registry_format.h"
 #include "gateway/request_handler.h"
+#include "gateway/selection_queue.h"
 #include "gateway/strike_exchange.h"
 #include "gateway/target_control.h"
 #include "gateway/timer_queue.h"
@@ -193,6 +194,7 @@
   AccessControl access;
   QuotaLimiter quotas;
   QuotaExchange quota_exchange;
+  SelectionQueue selection_queue;
   OrderDispatcher order_dispatcher;
   StrikeExchange strike_exchange;
   ListenerList grace_time_ended;
--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -73,8 +73,10 @@
 class HandlerFixture {
  public:
   explicit HandlerFixture(
-      std::optional<std::chrono::milliseconds> revoke_time = std::nullopt)
-      : freshness(this->clock, this->random, revoke_time),
+      std::optional<std::chrono::milliseconds> revoke_time = std::nullopt,
+      bool predicted_cost = false)
+      : predicted_cost(predicted_cost),
+        freshness(this->clock, this->random, revoke_time),
         server(Loop(),
                this->timers,
                this->clock,
@@ -128,6 +130,7 @@
     return text + "\r\n" + std::string(body);
   }
 
+  bool predicted_cost;
   SystemClock clock;
   SeededRandom random{3};
   TimerQueue timers{Loop(), clock};
@@ -147,6 +150,13 @@
   ConfigFreshness freshness;
   AccessControl access{freshness};
   QuotaLimiter quotas{clock, random};
+  SelectionQueue selection_queue{Loop(),
+                                 clock,
+                                 random,
+                                 targets_changed,
+                                 metrics,
+                                 predicted_cost,
+                                 EntryQueueOptions{.max_length = 8}};
   RateLimitCoordinator rate_limits{Loop(), clock, random, transport,
                                    HostId("h")};
   std::shared_ptr<const RouteTable> table;
@@ -165,6 +175,7 @@
                            rate_limits,
                            access,
                            quotas,
+                           selection_queue,
                            metrics,
                            grace_time_ended,
                            [this] { return this->table; },
