Keep the quotas of workspaces within them when the lease holder changes

Change: the new holder starts with a full bucket for workspaces that were not limited; the first debt of an entry without a holder is reduced by what the quota gives until the lease is taken over; reports tell the time since the start, and totals of instances that started within the window of the quotas count in full.

--- a/include/pimentospar/quota/quota_ledger.h
+++ b/include/pimentospar/quota/quota_ledger.h
@@ -20,6 +20,8 @@
   /// Grows with each message of the instance.
   std::uint64_t sequence = 0;
   std::span<const QuotaUsage> usage;
+  /// Time since the instance started.
+  Duration uptime = Duration::max();
 };
 
 /// The state of a quota at the lease holder.
@@ -39,13 +41,15 @@
  public:
   explicit QuotaLedger(const Clock& clock) : clock(clock) {}
 
-  /// Forgets all usage, since a new lease began. The buckets are empty.
-  void Restart();
+  /// Forgets all usage, since a new lease began. The buckets are empty, except
+  /// for those of workspaces that were within their quotas under the last
+  /// lease.
+  void Restart(std::span<const WorkspaceId> within_quota = {});
   /// Replaces the quotas. A balance is cut to the new burst.
   void OnConfig(std::span<const WorkspaceSpec> workspaces);
   /// Accounts for what has changed since the last report of the entry. The
   /// first total of a workspace that an entry reports is its baseline, unless
-  /// the entry has just started.
+  /// the entry has started within the window of the quotas.
   void OnReport(const UsageReport& report);
   /// Computes the fractions. `report_interval` is the time between two reports
   /// of an entry.
--- a/include/pimentospar/quota/quota_limiter.h
+++ b/include/pimentospar/quota/quota_limiter.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <span>
 #include <variant>
+#include <vector>
 
 #include "pimentospar/access/workspace.h"
 #include "pimentospar/clock.h"
@@ -58,6 +59,9 @@
   /// A request that was charged is sent to a target for the first time.
   void OnSent(const WorkspaceId& workspace, double units);
 
+  /// Returns the workspaces that the last lease holder has not limited, if it
+  /// was heard recently.
+  [[nodiscard]] std::vector<WorkspaceId> WorkspacesWithinQuota() const;
   /// Returns whether any workspace has a quota.
   [[nodiscard]] bool HasQuotas() const { return !this->states.empty(); }
   /// Returns what was counted for a workspace, null if it has no quota.
--- a/schema/gateway.capnp
+++ b/schema/gateway.capnp
@@ -37,6 +37,8 @@
   quotaLimits @20 :List(EntryQuotaLimit);
   # Grows with each change of the limits; 0 if the message has none.
   quotaEpoch @21 :UInt64;
+  # Time since the sender started; set in messages with quotaUsage.
+  uptimeMs @22 :UInt32;
 }
 
 struct EntryFreshness {
--- a/schema/gateway.capnp.h
+++ b/schema/gateway.capnp.h
@@ -45,7 +45,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dc6a7d382666f852, 7, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(dc6a7d382666f852, 8, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -324,6 +324,8 @@
 
   inline  ::uint64_t getQuotaEpoch() const;
 
+  inline  ::uint32_t getUptimeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -475,6 +477,9 @@
   inline  ::uint64_t getQuotaEpoch();
   inline void setQuotaEpoch( ::uint64_t value);
 
+  inline  ::uint32_t getUptimeMs();
+  inline void setUptimeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2315,6 +2320,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t EntryMessage::Reader::getUptimeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryMessage::Builder::getUptimeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void EntryMessage::Builder::setUptimeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EntryFreshness::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/entry_message.cc
+++ b/src/gateway/entry_message.cc
@@ -235,6 +235,7 @@
     row.setFraction(limit.fraction);
   }
   to.setQuotaEpoch(from.quota_epoch);
+  to.setUptimeMs(ToWireMilliseconds(from.uptime));
 }
 
 void ReadQuotas(wire::EntryMessage::Reader from, EntryMessage& to) {
@@ -247,6 +248,7 @@
         {WorkspaceId(ToStdString(row.getWorkspace())), row.getFraction()});
   }
   to.quota_epoch = from.getQuotaEpoch();
+  to.uptime = milliseconds(from.getUptimeMs());
 }
 
 void WriteLists(wire::EntryMessage::Builder to, const EntryMessage& from) {
--- a/src/gateway/entry_message.h
+++ b/src/gateway/entry_message.h
@@ -99,6 +99,8 @@
   std::vector<FreshnessQuery> freshness_queries;
   std::vector<FreshnessReply> freshness_replies;
   std::vector<QuotaUsage> quota_usage;
+  /// Time since the sender started; set in messages with `quota_usage`.
+  Duration uptime{0};
   /// From the lease holder: the workspaces that may not pass on all of their
   /// demand.
   std::vector<QuotaLimit> quota_limits;
--- a/src/gateway/quota_exchange.cc
+++ b/src/gateway/quota_exchange.cc
@@ -46,6 +46,7 @@
       transport(transport),
       limiter(limiter),
       options(std::move(options)),
+      started_at(clock.Now()),
       reporter(clock, random, limiter),
       ledger(clock),
       publisher(clock) {}
@@ -87,7 +88,7 @@
     this->ledger_lease = lease;
     this->newest_lease = std::max(this->newest_lease.value_or(lease), lease);
     this->newest_epoch = 0;
-    this->ledger.Restart();
+    this->ledger.Restart(this->limiter.WorkspacesWithinQuota());
     this->publisher.Restart();
   }
   const std::size_t entry_count = this->transport.PeerCount() + 1;
@@ -129,7 +130,8 @@
         usage.push_back({id, counts.asked, counts.sent});
       });
   this->ledger.OnReport({this->options.self, this->options.instance,
-                         ++this->own_sequence, usage});
+                         ++this->own_sequence, usage,
+                         this->clock.Now() - this->started_at});
 }
 
 void QuotaExchange::ReportToHolder() {
@@ -146,6 +148,7 @@
     EntryMessage message;
     message.quota_usage.assign(begin,
                                begin + static_cast<std::ptrdiff_t>(count));
+    message.uptime = this->clock.Now() - this->started_at;
     this->transport.Send(*holder, std::move(message));
   }
 }
@@ -161,7 +164,7 @@
   }
   if (this->ledger_lease && !message.quota_usage.empty()) {
     this->ledger.OnReport({message.host, message.instance, message.sequence,
-                           message.quota_usage});
+                           message.quota_usage, message.uptime});
   }
   return !message.quota_usage.empty() || message.quota_epoch > 0;
 }
--- a/src/gateway/quota_exchange.h
+++ b/src/gateway/quota_exchange.h
@@ -72,6 +72,7 @@
   EntryTransport& transport;
   QuotaLimiter& limiter;
   QuotaExchangeOptions options;
+  TimePoint started_at;
   UsageReporter reporter;
   QuotaLedger ledger;
   LimitPublisher publisher;
--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -72,12 +72,15 @@
 
 }  // namespace
 
-void QuotaLedger::Restart() {
+void QuotaLedger::Restart(std::span<const WorkspaceId> within_quota) {
   this->started_at = this->clock.Now();
   this->share = 1;
   this->entries.clear();
   for (auto& [id, account] : this->accounts) {
     account = Account{account.quota, {}, this->started_at, {}};
+    if (std::ranges::find(within_quota, id) != within_quota.end()) {
+      account.status.balance = Capacity(account.quota);
+    }
   }
 }
 
@@ -128,7 +131,10 @@
     return nullptr;
   }
   Entry& entry = this->entries[report.host];
-  entry = Entry{report.instance, std::nullopt, false, now, {}};
+  // What an instance has sent since its recent start counts in full: its
+  // predecessors may have used the quota before it.
+  const bool counts_from_zero = report.uptime < kMaxDebtTime;
+  entry = Entry{report.instance, std::nullopt, counts_from_zero, now, {}};
   return &entry;
 }
 
--- a/src/quota/quota_limiter.cc
+++ b/src/quota/quota_limiter.cc
@@ -22,6 +22,8 @@
 // likely cut off from it, and the others use the whole quota.
 constexpr Duration kTakeoverTime = std::chrono::milliseconds(3200);
 constexpr double kCutOffShare = 0.25;
+// The limits of the last lease holder count for a new one for this time.
+constexpr Duration kLimitsMemoryTime = std::chrono::seconds(6);
 constexpr Duration kSentMeanTime = std::chrono::seconds(2);
 constexpr Duration kLocalBurstTime = std::chrono::milliseconds(250);
 // Weight of earlier deviations from the fraction in the next draw, so that the
@@ -118,9 +120,12 @@
   if (!state.bucket) {
     const double sent = state.sent_per_second * Decay(now - state.sent_at);
     // All entries start their buckets at the same time. The random debt keeps
-    // them from passing on their first requests together.
+    // them from passing on more first requests than the quota gives until
+    // another entry becomes the lease holder.
+    const double debt =
+        units * this->random.NextDouble() - share * Seconds(kTakeoverTime);
     state.bucket = LocalBucket{std::max(share, kUnsupervisedGrowth * sent),
-                               -units * this->random.NextDouble(), now};
+                               -std::max(debt, 0.0), now};
   }
   LocalBucket& bucket = *state.bucket;
   if (this->IsCutOff(now)) {
@@ -182,6 +187,20 @@
   state.sent_at = now;
 }
 
+std::vector<WorkspaceId> QuotaLimiter::WorkspacesWithinQuota() const {
+  std::vector<WorkspaceId> within_quota;
+  if (!this->holder_message_at ||
+      this->clock.Now() - *this->holder_message_at > kLimitsMemoryTime) {
+    return within_quota;
+  }
+  for (const auto& [id, state] : this->states) {
+    if (state.fraction >= 1) {
+      within_quota.push_back(id);
+    }
+  }
+  return within_quota;
+}
+
 const QuotaCounts* QuotaLimiter::Find(const WorkspaceId& workspace) const {
   const auto found = this->states.find(workspace);
   return found == this->states.end() ? nullptr : &found->second.counts;
