--- a/test/entry_queue_test.cc
+++ b/test/entry_queue_test.cc
@@ -10,8 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const ServiceId kService("s");
-
 struct Fixture {
   EntryRequest Request(std::string_view workspace,
                        std::uint32_t rank = 0,
@@ -19,7 +17,7 @@
     EntryRequest request;
     request.workspace = WorkspaceId(workspace);
     request.rank = rank;
-    request.service = kService;
+    request.service = this->service;
     request.model = ModelId("m");
     request.route = "/r/";
     request.received_at = this->clock.Now();
@@ -39,12 +37,12 @@
 
   // Lets the next request select a target; returns its workspace.
   std::string SelectNext() {
-    this->queue.StartRound(kService);
-    const auto ticket = this->queue.NextTurn(kService);
+    this->queue.StartRound(this->service);
+    const auto ticket = this->queue.NextTurn(this->service);
     if (!ticket) {
       return "";
     }
-    const std::string workspace = this->queue.Find(*ticket)->workspace.value;
+    std::string workspace = this->queue.Find(*ticket)->workspace.value;
     this->queue.OnSelected(*ticket);
     return workspace;
   }
@@ -55,6 +53,7 @@
     return std::get<QueueRefusal>(decision).cause;
   }
 
+  const ServiceId service{"s"};
   ManualClock clock;
   SeededRandom random{5};
   EntryQueue queue{clock, random, {.max_length = 8, .max_bytes = 1000}};
@@ -66,8 +65,8 @@
   const QueueTicket second = this->Add(this->Request("", 1));
   const QueueTicket urgent = this->Add(this->Request("", 0));
   for (const QueueTicket expected : {urgent, first, second}) {
-    this->queue.StartRound(kService);
-    const auto next = this->queue.NextTurn(kService);
+    this->queue.StartRound(this->service);
+    const auto next = this->queue.NextTurn(this->service);
     BOOST_REQUIRE(next.has_value());
     BOOST_TEST(next->value == expected.value);
     this->queue.Cancel(*next);
@@ -109,19 +108,19 @@
   const QueueTicket urgent = this->Add(this->Request("a", 0));
   const QueueTicket other = this->Add(this->Request("b", 0));
   const QueueTicket lower = this->Add(this->Request("c", 1));
-  BOOST_TEST(this->queue.NextTurn(kService)->value == urgent.value);
+  BOOST_TEST(this->queue.NextTurn(this->service)->value == urgent.value);
   this->queue.OnBlocked(urgent);
-  BOOST_TEST(this->queue.NextTurn(kService)->value == other.value);
+  BOOST_TEST(this->queue.NextTurn(this->service)->value == other.value);
   this->queue.OnBlocked(other);
-  BOOST_TEST(!this->queue.NextTurn(kService).has_value());
+  BOOST_TEST(!this->queue.NextTurn(this->service).has_value());
   this->clock.Advance(milliseconds(400));
-  BOOST_TEST(this->queue.NextTurn(kService)->value == lower.value);
+  BOOST_TEST(this->queue.NextTurn(this->service)->value == lower.value);
   this->queue.OnSelected(lower);
   this->Add(this->Request("c", 1));
-  this->queue.StartRound(kService);
-  this->queue.OnBlocked(*this->queue.NextTurn(kService));
-  this->queue.OnBlocked(*this->queue.NextTurn(kService));
-  BOOST_TEST(!this->queue.NextTurn(kService).has_value());
+  this->queue.StartRound(this->service);
+  this->queue.OnBlocked(*this->queue.NextTurn(this->service));
+  this->queue.OnBlocked(*this->queue.NextTurn(this->service));
+  BOOST_TEST(!this->queue.NextTurn(this->service).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(ReservesSelectionsForLowerRanks, Fixture) {
@@ -182,7 +181,7 @@
 
 BOOST_FIXTURE_TEST_CASE(RemovesWhatCanNoLongerEndInTime, Fixture) {
   for (int i = 0; i < 40; ++i) {
-    this->queue.OnResponse(kService, "/r/", seconds(2));
+    this->queue.OnResponse(this->service, "/r/", seconds(2));
   }
   this->Add(this->Request("a"));
   EntryRequest begun = this->Request("a");
@@ -204,9 +203,9 @@
   const QueueTicket late = this->Add(this->Request("a"));
   this->clock.Advance(seconds(2));
   const QueueTicket fresh = this->Add(this->Request("a"));
-  BOOST_TEST(this->queue.NextTurn(kService)->value == fresh.value);
+  BOOST_TEST(this->queue.NextTurn(this->service)->value == fresh.value);
   this->queue.OnSelected(fresh);
-  BOOST_TEST(this->queue.NextTurn(kService)->value == late.value);
+  BOOST_TEST(this->queue.NextTurn(this->service)->value == late.value);
 }
 
 BOOST_FIXTURE_TEST_CASE(RefusesAtOnceWhatWouldWaitTooLong, Fixture) {
@@ -270,7 +269,7 @@
 BOOST_FIXTURE_TEST_CASE(SpreadsRetryAfter, Fixture) {
   std::set<Duration> times;
   for (int i = 0; i < 100; ++i) {
-    times.insert(this->queue.RetryAfter(kService));
+    times.insert(this->queue.RetryAfter(this->service));
   }
   BOOST_TEST(times.size() > 90U);
   BOOST_TEST((*times.begin() >= milliseconds(500)));
@@ -308,8 +307,8 @@
   BOOST_TEST(!this->queue.MustWait(this->Request("b", 3)));
   const QueueTicket other = this->Add(this->Request("b", 3));
   const QueueTicket first = this->Add(usual);
-  BOOST_TEST(this->queue.NextTurn(kService)->value == first.value);
-  BOOST_TEST(this->queue.NextTurn(kService)->value == other.value);
+  BOOST_TEST(this->queue.NextTurn(this->service)->value == first.value);
+  BOOST_TEST(this->queue.NextTurn(this->service)->value == other.value);
 }
 
 BOOST_FIXTURE_TEST_CASE(ADrainRefusesAll, Fixture) {
