Serve requests first that can still meet their goal

Within a workspace the oldest request went first unless its goal had passed, so under lasting overload most responses came just too late. The queue now learns how long responses take to reach the goal, puts requests that are expected to miss it last, and takes the newest of these first, which has most time left. The replay now treats a request that cannot end in time as the selector does, which finds no target for it, instead of starting it in vain; the checks are the same.

--- a/include/pimentospar/admission/entry_queue.h
+++ b/include/pimentospar/admission/entry_queue.h
@@ -55,7 +55,7 @@
   ModelId model;
   std::string route;
   TimePoint received_at;
-  /// End of the route's latency goal; a request that has missed it gives way to
+  /// End of the route's latency goal; a request that will miss it gives way to
   /// the others of its workspace.
   TimePoint goal_at;
   TimePoint deadline;
@@ -70,6 +70,14 @@
   bool in_excess = false;
 };
 
+/// How long a response took, from when the request was sent to its target.
+struct ResponseTimes {
+  /// Until what the latency goal of the route counts: the first event of a
+  /// stream, or the whole response.
+  Duration to_goal{0};
+  Duration total{0};
+};
+
 /// Why a request was refused.
 enum class QueueRefusalCause : std::uint8_t {
   /// On arrival: the predicted wait leaves too little time.
@@ -165,10 +173,10 @@
   void OnOutcome(const WorkspaceId& workspace, bool served) {
     this->shares.Record(workspace, served);
   }
-  /// A response was complete after `duration` at its target.
+  /// A response is complete.
   void OnResponse(const ServiceId& service,
                   const std::string& route,
-                  Duration duration);
+                  const ResponseTimes& times);
 
   /// Returns when a caller that is refused may come back, from the predicted
   /// backlog and spread at random.
@@ -222,8 +230,10 @@
     int precedence = 1;
     Rank rank = 0;
     double start_tag = 0;
-    bool missed_goal = false;
-    TimePoint received_at;
+    bool misses_goal = false;
+    /// Time of arrival; negative for requests that miss their goal, of which
+    /// the newest has most time left and goes first.
+    Duration arrival{0};
 
     auto operator<=>(const Position&) const = default;
   };
@@ -246,6 +256,9 @@
   [[nodiscard]] static std::optional<double> WorkRate(
       const ServiceQueue& queue);
   [[nodiscard]] Duration MinServiceTime(const EntryRequest& request) const;
+  /// Returns whether a request is expected to miss its latency goal even if it
+  /// is sent now.
+  [[nodiscard]] bool MissesGoal(const EntryRequest& request) const;
   [[nodiscard]] bool Fits(const EntryRequest& request) const;
   [[nodiscard]] bool IsLessUrgent(const Item& item,
                                   const EntryRequest& newcomer) const;
@@ -267,7 +280,8 @@
   Items items;
   std::unordered_map<ServiceId, ServiceQueue> services;
   std::map<WorkspaceId, Usage> usage;
-  std::map<std::pair<ServiceId, std::string>, Duration> min_service_times;
+  /// Mean time to the goal and shortest total time, by service and route.
+  std::map<std::pair<ServiceId, std::string>, ResponseTimes> response_times;
   std::vector<RemovedRequest> removed;
   ServedShares shares;
   UsualLoad usual_load;
--- a/src/admission/entry_queue.cc
+++ b/src/admission/entry_queue.cc
@@ -24,6 +24,7 @@
 // with a step that is relative to the estimate.
 constexpr double kServiceTimeQuantile = 0.1;
 constexpr double kServiceTimeGain = 0.2;
+constexpr double kGoalTimeGain = 0.1;
 // Some requests of a route are shorter than the quantile.
 constexpr double kServiceTimeShare = 0.8;
 // Requests in excess of the usual load come after all ranks.
@@ -106,8 +107,9 @@
                              ? rank->second.virtual_time
                              : tag->second;
   }
-  position.missed_goal = request.goal_at <= this->clock.Now();
-  position.received_at = request.received_at;
+  position.misses_goal = this->MissesGoal(request);
+  const Duration arrival = request.received_at.time_since_epoch();
+  position.arrival = position.misses_goal ? -arrival : arrival;
   return position;
 }
 
@@ -424,21 +426,22 @@
     return request.rank > newcomer.rank;
   }
   if (request.workspace == newcomer.workspace) {
-    return request.goal_at <= this->clock.Now() &&
-           newcomer.goal_at > this->clock.Now();
+    return this->MissesGoal(request) && !this->MissesGoal(newcomer);
   }
   return this->UsageOf(request.workspace).count >
          this->UsageOf(newcomer.workspace).count + 1;
 }
 
 // Returns the least urgent request: of the last rank, then of the workspace
-// with most requests, then one that has missed its goal, then the newest.
+// with most requests, then the oldest that will miss its
+// goal, then the newest.
 EntryQueue::Items::iterator EntryQueue::FindVictim(const EntryRequest& newcomer,
                                                    bool same_workspace) {
   const auto order = [this](const EntryRequest& request) {
+    const bool misses_goal = this->MissesGoal(request);
+    const Duration arrival = request.received_at.time_since_epoch();
     return std::tuple(request.rank, this->UsageOf(request.workspace).count,
-                      request.goal_at <= this->clock.Now(),
-                      request.received_at);
+                      misses_goal, misses_goal ? -arrival : arrival);
   };
   auto victim = this->items.end();
   for (auto it = this->items.begin(); it != this->items.end(); ++it) {
@@ -520,25 +523,35 @@
 
 Duration EntryQueue::MinServiceTime(const EntryRequest& request) const {
   const auto found =
-      this->min_service_times.find({request.service, request.route});
-  if (request.has_begun || found == this->min_service_times.end()) {
+      this->response_times.find({request.service, request.route});
+  if (request.has_begun || found == this->response_times.end()) {
     return kMinTimeLeft;
   }
   return std::max<Duration>(kMinTimeLeft,
-                            Scale(found->second, kServiceTimeShare));
+                            Scale(found->second.total, kServiceTimeShare));
+}
+
+bool EntryQueue::MissesGoal(const EntryRequest& request) const {
+  const auto found =
+      this->response_times.find({request.service, request.route});
+  const Duration time =
+      found == this->response_times.end() ? Duration(0) : found->second.to_goal;
+  return this->clock.Now() + time > request.goal_at;
 }
 
 void EntryQueue::OnResponse(const ServiceId& service,
                             const std::string& route,
-                            Duration duration) {
-  const auto [found, is_first] =
-      this->min_service_times.try_emplace({service, route}, duration / 2);
+                            const ResponseTimes& times) {
+  const auto [found, is_first] = this->response_times.try_emplace(
+      {service, route}, ResponseTimes{times.to_goal, times.total / 2});
   if (is_first) {
     return;
   }
-  const double step = duration < found->second ? kServiceTimeQuantile - 1
-                                               : kServiceTimeQuantile;
-  found->second = Scale(found->second, 1 + kServiceTimeGain * step);
+  ResponseTimes& known = found->second;
+  known.to_goal += Scale(times.to_goal - known.to_goal, kGoalTimeGain);
+  const double step = times.total < known.total ? kServiceTimeQuantile - 1
+                                                : kServiceTimeQuantile;
+  known.total = Scale(known.total, 1 + kServiceTimeGain * step);
 }
 
 Duration EntryQueue::RetryAfter(const ServiceId& service) {
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -430,9 +430,11 @@
                            ToAttemptOutcome(attempt_status, attempt.reason));
   if (attempt_status == AttemptStatus::kDelivered &&
       attempt.earlier_events == 0) {
+    const TimePoint now = this->deps.clock.Now();
+    const TimePoint goal_reached = this->forwarder.FirstEventAt().value_or(now);
     this->deps.selection_queue.OnResponse(
         this->service, this->route->name,
-        this->deps.clock.Now() - this->last_sent_at);
+        {goal_reached - this->last_sent_at, now - this->last_sent_at});
   }
   this->deps.selection_queue.OnAttemptEnd(this->service);
   if (attempt_status != AttemptStatus::kDelivered) {
--- a/src/gateway/selection_queue.h
+++ b/src/gateway/selection_queue.h
@@ -52,8 +52,8 @@
   void OnAttemptEnd(const ServiceId& service);
   void OnResponse(const ServiceId& service,
                   const std::string& route,
-                  Duration duration) {
-    this->queue.OnResponse(service, route, duration);
+                  const ResponseTimes& times) {
+    this->queue.OnResponse(service, route, times);
   }
   /// A request that arrived, and is not in excess, was sent to a target for the
   /// first time, or refused.
--- a/test/burst_replay_test.cc
+++ b/test/burst_replay_test.cc
@@ -147,14 +147,23 @@
       if (!ticket) {
         return;
       }
-      this->Start(*this->queue.Find(*ticket));
+      // As the selector, which sends no request that cannot end in time.
+      const EntryRequest& request = *this->queue.Find(*ticket);
+      if (this->clock.Now() + Scale(kServiceTime, request.work) >
+          request.deadline) {
+        this->queue.OnBlocked(*ticket);
+        continue;
+      }
+      this->Start(request);
       this->queue.OnSelected(*ticket);
     }
   }
 
   void Start(const EntryRequest& request) {
-    const TimePoint end = this->clock.Now() + Scale(kServiceTime, request.work);
+    const Duration time = Scale(kServiceTime, request.work);
+    const TimePoint end = this->clock.Now() + time;
     this->ends.push(end);
+    this->queue.OnResponse(this->service, request.route, {time, time});
     this->Record(request, true);
     const auto workspace =
         static_cast<std::uint32_t>(std::stoul(request.workspace.value));
--- a/test/entry_queue_test.cc
+++ b/test/entry_queue_test.cc
@@ -181,7 +181,8 @@
 
 BOOST_FIXTURE_TEST_CASE(RemovesWhatCanNoLongerEndInTime, Fixture) {
   for (int i = 0; i < 40; ++i) {
-    this->queue.OnResponse(this->service, "/r/", seconds(2));
+    this->queue.OnResponse(this->service, "/r/",
+                           {milliseconds(300), seconds(2)});
   }
   this->Add(this->Request("a"));
   EntryRequest begun = this->Request("a");
@@ -199,13 +200,21 @@
 }
 
 // Guards against a queue in which every request waits until it is late.
-BOOST_FIXTURE_TEST_CASE(RequestsThatMissedTheirGoalGiveWay, Fixture) {
+BOOST_FIXTURE_TEST_CASE(RequestsThatMissTheirGoalGiveWay, Fixture) {
   const QueueTicket late = this->Add(this->Request("a"));
   this->clock.Advance(seconds(2));
   const QueueTicket fresh = this->Add(this->Request("a"));
   BOOST_TEST(this->queue.NextTurn(this->service)->value == fresh.value);
   this->queue.OnSelected(fresh);
   BOOST_TEST(this->queue.NextTurn(this->service)->value == late.value);
+  this->queue.OnSelected(late);
+  // One that is still within its goal, but would end after it.
+  this->queue.OnResponse(this->service, "/r/",
+                         {milliseconds(300), milliseconds(300)});
+  this->Add(this->Request("a"));
+  this->clock.Advance(milliseconds(800));
+  const QueueTicket second = this->Add(this->Request("a"));
+  BOOST_TEST(this->queue.NextTurn(this->service)->value == second.value);
 }
 
 BOOST_FIXTURE_TEST_CASE(RefusesAtOnceWhatWouldWaitTooLong, Fixture) {
