--- a/src/access/config_freshness.cc
+++ b/src/access/config_freshness.cc
@@ -55,7 +55,8 @@
     : clock(clock),
       random(random),
       revoke_time(revoke_time),
-      read_part(kMinReadPart + kReadPartSpread * random.NextDouble()),
+      read_part(kMinReadPart +
+                (revoke_time ? kReadPartSpread * random.NextDouble() : 0)),
       heard_at(clock.Now()) {}
 
 // A proof of the previous version holds for a later one too: it has all that
