Test that entries read the log rarely while the lease holder replies

Cause: proofs that get too old between two replies would make each entry read the configuration once a second.

Change: a test with 24 entries on one log.

--- a/test/gateway/workspace_access_test.cc
+++ b/test/gateway/workspace_access_test.cc
@@ -219,5 +219,33 @@
   BOOST_TEST(Send(entry, kKeyA).starts_with("HTTP/1.1 503"));
 }
 
+// Guards against entries that each read the log once a second while the lease
+// holder replies to their queries.
+BOOST_AUTO_TEST_CASE(ReadsOfAFleetStayRareWhileTheHolderReplies) {
+  constexpr std::size_t kEntries = 24;
+  constexpr std::chrono::seconds kTime{5};
+  Fleet& fleet = Fleet::Create();
+  fleet.revoke_time = milliseconds(5000);
+  fleet.SetConfig(Config(1, "key-a"));
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    (void)fleet.Start("h" + std::to_string(i), i == 0 ? 0.5 : 0.2);
+  }
+  const auto count_reads = [&fleet] {
+    std::size_t reads = 0;
+    for (const auto& view : fleet.views) {
+      reads += view->reads["keyed.op"];
+    }
+    return reads;
+  };
+  BOOST_TEST(Eventually([&] { return fleet.HolderCount() == 1; }));
+  boost::this_fiber::sleep_for(kTime);
+  const std::size_t before = count_reads();
+  boost::this_fiber::sleep_for(kTime);
+  // Each other entry reads every 4.8 s in any case.
+  BOOST_TEST(count_reads() - before <= kTime.count() + 2 * kEntries);
+  BOOST_TEST(std::ranges::all_of(
+      fleet.gateways, [](const auto& entry) { return entry->IsReady(); }));
+}
+
 }  // namespace
 }  // namespace pimentospar
