Let the number of homes of a shared prompt part follow its rate

Cause: each region had one home for each shared part, however rarely it was used, so caches held cold parts up to three times; a hot part had one engine in a region. Expected cache hits had a half-life of 60 s where engines evict after about 16 s, and outlived a restart that only an inventory had told.

Change: PrefixHomeSelector learns the rate of each part and how long caches keep it, and chooses one home for all regions, one in each, or several in each, ranked by a hash that all entries share. TargetSelectorOptions:: adaptive_homes, set from features.predicted_cost, enables it. FindPrefixHomes returns the expected cached tokens of each home.

--- a/include/pimentospar/prefix_cache_estimate.h
+++ b/include/pimentospar/prefix_cache_estimate.h
@@ -39,6 +39,9 @@
   std::size_t max_prefixes = 1024;
   /// Time without confirmation after which the expected saving is halved.
   Duration half_life = std::chrono::seconds(60);
+  /// Power of the age in half-lives by which the expected saving falls; above 1
+  /// for caches that evict at a certain age.
+  double decay_power = 1;
   /// Fraction of the saving that is expected of a prefix just confirmed.
   double confidence = 0.8;
 };
@@ -58,6 +61,7 @@
              std::span<const PrefixBlock> prefix,
              std::uint32_t cached_tokens,
              TimePoint now);
+  void SetHalfLife(Duration half_life) { this->options.half_life = half_life; }
   /// Returns the expected number of prompt tokens that the target need not
   /// compute.
   [[nodiscard]] double ExpectedCachedTokens(const ModelId& model,
--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -14,6 +14,7 @@
 #include "pimentospar/prefix_cache_estimate.h"
 #include "pimentospar/random.h"
 #include "pimentospar/routing/inventory.h"
+#include "pimentospar/routing/prefix_homes.h"
 #include "pimentospar/routing/stream_estimators.h"
 #include "pimentospar/routing/target_limits.h"
 #include "pimentospar/target_health.h"
@@ -103,6 +104,12 @@
                              .max_trial_interval = std::chrono::seconds(4),
                              .trial_timeout = std::chrono::seconds(3)};
   PrefixCacheEstimateOptions prefixes;
+  /// The number of homes of a prefix follows its rate; otherwise each region
+  /// has one home for the longest prefix of a prompt.
+  bool adaptive_homes = false;
+  PrefixHomesOptions homes;
+  /// Engine time per output token beside other streams.
+  Duration output_token_work = std::chrono::microseconds(300);
 };
 
 /// What a request requires of its target.
@@ -122,6 +129,11 @@
   std::uint32_t expected_events = 0;
   /// Time left for all these events.
   Duration time_left{0};
+  /// What the caches of the service's engines take, for adaptive homes.
+  std::size_t entry_count = 1;
+  /// Tokens that the KV cache of one engine holds; 0 if unknown.
+  std::uint32_t kv_capacity_tokens = 0;
+  std::uint32_t tokens_per_event = 1;
   /// Limits of targets; may be null.
   const TargetLimits* limits = nullptr;
 };
@@ -269,6 +281,8 @@
     std::optional<TimePoint> planner_inventory_at;
     TargetHealth health;
     PrefixCacheEstimate prefixes;
+    /// When a start or restart was noticed.
+    std::optional<TimePoint> restarted_at;
     std::uint32_t in_flight = 0;
     /// Prompt tokens of this entry's requests that wait for their first byte.
     std::uint64_t pending_prompt_tokens = 0;
@@ -298,9 +312,10 @@
     bool trial = false;
     bool has_first_byte = false;
   };
-  /// The home target of a prefix in each region. Entries that know of no cache
-  /// with the prefix send its requests there, so that they share one cache.
-  using PrefixHomes = std::unordered_map<RegionId, const KnownTarget*>;
+  /// The home targets of a prefix and the tokens that each has probably cached.
+  /// Entries that know of no cache with the prefix send its requests there, so
+  /// that they share caches.
+  using PrefixHomes = std::unordered_map<const KnownTarget*, double>;
   struct CostEstimate {
     Duration expected_ttfb{0};
     Duration cost{0};
@@ -313,7 +328,26 @@
                               TimePoint now) const;
   [[nodiscard]] PrefixHomes FindPrefixHomes(
       std::span<const KnownTarget* const> candidates,
-      const TargetQuery& query) const;
+      const TargetQuery& query);
+  [[nodiscard]] PrefixHomes FindAdaptiveHomes(
+      std::span<const KnownTarget* const> candidates,
+      const TargetQuery& query);
+  [[nodiscard]] bool IsAvailableAsHome(const KnownTarget& target,
+                                       const TargetQuery& query,
+                                       TimePoint now) const;
+  /// False for targets that are homes only if there are no others: those whose
+  /// caches a restart has emptied, and those that prompts of this length avoid.
+  [[nodiscard]] bool IsPreferredAsHome(const KnownTarget& target,
+                                       const TargetQuery& query,
+                                       TimePoint now) const;
+  [[nodiscard]] CacheDemand DescribeCacheDemand(const TargetQuery& query) const;
+  /// Updates what is known of the rates of prefixes and of evictions.
+  void LearnPrefixUse(KnownTarget& target,
+                      const SelectedTarget& selected,
+                      const TargetQuery& query);
+  void OnNewTarget(KnownTarget& target);
+  /// The target's caches are empty after a restart.
+  void ForgetCaches(KnownTarget& target);
   [[nodiscard]] CostEstimate EstimateCost(const KnownTarget& target,
                                           const TargetQuery& query,
                                           const PrefixHomes& homes,
@@ -350,6 +384,8 @@
     std::set<TargetId> short_prompt_engines;
   };
   std::unordered_map<ServiceId, PromptSplit> prompt_splits;
+  PrefixHomeSelector prefix_homes;
+  std::optional<TimePoint> first_target_at;
 };
 
 }  // namespace pimentospar
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,6 +53,7 @@
   TargetSelectorOptions options;
   options.region = settings.region;
   options.data_centre = settings.data_centre;
+  options.adaptive_homes = settings.features.predicted_cost;
   return options;
 }
 
--- a/src/gateway/request_handler_query.cc
+++ b/src/gateway/request_handler_query.cc
@@ -21,7 +21,10 @@
   const ServiceSpec* spec = this->table->FindService(this->service);
   if (spec != nullptr && spec->engine) {
     query.copy = this->meta.copy;
+    query.kv_capacity_tokens = spec->engine->kv_capacity_tokens;
+    query.tokens_per_event = spec->engine->tokens_per_event;
   }
+  query.entry_count = this->deps.entry_count();
   query.prompt_tokens = this->meta.prompt_tokens;
   query.prefix = this->meta.prefix;
   query.tried = this->tried_targets;
--- a/src/prefix_cache_estimate.cc
+++ b/src/prefix_cache_estimate.cc
@@ -84,8 +84,9 @@
     }
     const double half_lives = Seconds(now - found->second->confirmed) /
                               Seconds(this->options.half_life);
-    best = std::max(best, block.tokens * found->second->confidence *
-                              std::exp2(-half_lives));
+    best = std::max(
+        best, block.tokens * found->second->confidence *
+                  std::exp2(-std::pow(half_lives, this->options.decay_power)));
   }
   return best;
 }
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -32,7 +32,14 @@
 TargetSelector::TargetSelector(const Clock& clock,
                                RandomSource& random,
                                TargetSelectorOptions options)
-    : clock(clock), random(random), options(std::move(options)) {}
+    : clock(clock),
+      random(random),
+      options(std::move(options)),
+      prefix_homes(clock, this->options.homes) {
+  if (this->options.adaptive_homes) {
+    this->options.prefixes.decay_power = this->options.homes.eviction_power;
+  }
+}
 
 void TargetSelector::OnTarget(const TargetDescription& target) {
   const auto [entry, is_new] =
@@ -40,6 +47,7 @@
   KnownTarget& known = entry->second;
   if (is_new) {
     this->RestoreNotice(known);
+    this->OnNewTarget(known);
     return;
   }
   const std::int64_t known_start = known.description.inventory.started_ms;
@@ -52,7 +60,7 @@
   const bool restarted = target.inventory.started_ms > known_start;
   if (restarted || target.address != known.description.address) {
     known.health = TargetHealth(this->options.health);
-    known.prefixes = PrefixCacheEstimate(this->options.prefixes);
+    this->ForgetCaches(known);
     known.planner_inventory_at.reset();
     known.responded_at.reset();
     known.backoff_until = {};
@@ -88,6 +96,9 @@
   }
   const bool restarted = inventory.started_ms > held.started_ms;
   const TimePoint now = this->clock.Now();
+  if (restarted && this->options.adaptive_homes) {
+    this->ForgetCaches(known);
+  }
   if (source == InventorySource::kPlanner) {
     if (!restarted && inventory.accepted_orders < held.accepted_orders) {
       return;
@@ -213,11 +224,14 @@
 
 TargetSelector::PrefixHomes TargetSelector::FindPrefixHomes(
     std::span<const KnownTarget* const> candidates,
-    const TargetQuery& query) const {
-  PrefixHomes homes;
+    const TargetQuery& query) {
   if (query.prefix.empty()) {
-    return homes;
+    return {};
   }
+  if (this->options.adaptive_homes) {
+    return this->FindAdaptiveHomes(candidates, query);
+  }
+  std::unordered_map<RegionId, const KnownTarget*> regional;
   std::unordered_map<RegionId, std::uint64_t> highest;
   const std::uint64_t seed =
       Hash64(PrefixScope(query.copy).value, query.prefix.back().hash);
@@ -227,11 +241,15 @@
     }
     const std::uint64_t rank = Hash64(target->description.id.value, seed);
     const RegionId& region = target->description.region;
-    if (!homes.contains(region) || rank > highest[region]) {
-      homes[region] = target;
+    if (!regional.contains(region) || rank > highest[region]) {
+      regional[region] = target;
       highest[region] = rank;
     }
   }
+  PrefixHomes homes;
+  for (const auto& [region, target] : regional) {
+    homes[target] = query.prefix.back().tokens * this->options.home_hit_ratio;
+  }
   return homes;
 }
 
@@ -252,10 +270,8 @@
   }
   const double prefix_tokens =
       query.prefix.empty() ? 0 : query.prefix.back().tokens;
-  const auto home = homes.find(target.description.region);
-  const double home_cached = home != homes.end() && home->second == &target
-                                 ? prefix_tokens * this->options.home_hit_ratio
-                                 : 0;
+  const auto home = homes.find(&target);
+  const double home_cached = home == homes.end() ? 0 : home->second;
   const double own_cached = target.prefixes.ExpectedCachedTokens(
       PrefixScope(query.copy), query.prefix, now);
   const double cached =
--- a/src/routing/target_selector_attempts.cc
+++ b/src/routing/target_selector_attempts.cc
@@ -36,6 +36,9 @@
     target.prefixes.OnUse(PrefixScope(query.copy), query.prefix,
                           kUnknownCachedTokens, now);
   }
+  if (this->options.adaptive_homes) {
+    this->LearnPrefixUse(target, selected, query);
+  }
   this->in_flight_attempts[attempt] = {
       selected.target, now,  selected.expected_ttfb, selected.new_tokens,
       selected.trial,  false};
