--- a/test/prefix_homes_test.cc
+++ b/test/prefix_homes_test.cc
@@ -138,10 +138,10 @@
     this->measure_from = this->clock.Now() + this->workload.warm_up;
     if (this->workload.restarts) {
       for (std::size_t i = 0; i < kEngineCount / 4; ++i) {
-        this->At(
-            this->workload.warm_up + Scale(this->workload.measured,
-                                           (i + 0.5) / (kEngineCount / 4.0)),
-            [this, i] { this->Restart(this->engines[i * 4 + 1]); });
+        this->At(this->workload.warm_up + Scale(this->workload.measured,
+                                                (static_cast<double>(i) + 0.5) /
+                                                    (kEngineCount / 4.0)),
+                 [this, i] { this->Restart(this->engines[i * 4 + 1]); });
       }
     }
     this->At(Duration(0), [this] { this->Arrive(); });
@@ -260,14 +260,14 @@
     if (this->IsMeasured()) {
       this->ttfbs.push_back(ttfb);
     }
-    this->At(ttfb, [this, &engine, &entry, attempt] {
+    this->At(ttfb, [&engine, &entry, attempt] {
       --engine.waiting;
       ++engine.running;
       entry.OnFirstByte(attempt);
       entry.OnLoadReport(engine.description.id,
                          {engine.running, engine.waiting, {}});
     });
-    this->At(ttfb + milliseconds(1400), [this, &engine, &entry, attempt] {
+    this->At(ttfb + milliseconds(1400), [&engine, &entry, attempt] {
       --engine.running;
       entry.OnEnd(attempt, AttemptOutcome::kSuccess);
     });
@@ -474,7 +474,8 @@
     }
     if (rate >= 1) {
       // Every entry has homes in each region whose load is bounded.
-      const double load = rate * 0.15 / sizes.begin()->first;
+      const double load =
+          rate * 0.15 / static_cast<double>(sizes.begin()->first);
       BOOST_TEST(sizes.begin()->first >= kRegionCount);
       BOOST_TEST(load < 0.5);
     }
