Take no part of a response, and no invalid status, as a response

Cause: where the end of the connection ends a body, the error of a reset was taken by the pending write of a long upload, and the read found an ordinary end. Statuses were told apart by >= 200 only, so 600 and 999 were responses, and 000 and 101 were skipped like interim ones.

Change: such a body is incomplete while the request is not sent completely. A status below 100 or above 599, or 101, ends the attempt without a valid response.

--- a/src/gateway/upstream.cc
+++ b/src/gateway/upstream.cc
@@ -40,6 +40,17 @@
   return std::chrono::seconds(seconds);
 }
 
+enum class StatusKind : std::uint8_t { kInterim, kFinal, kInvalid };
+
+// The gateway never asks for another protocol, so 101 answers nothing.
+StatusKind KindOf(unsigned status) {
+  constexpr unsigned kSwitchingProtocols = 101;
+  if (status < 100 || status > 599 || status == kSwitchingProtocols) {
+    return StatusKind::kInvalid;
+  }
+  return status < 200 ? StatusKind::kInterim : StatusKind::kFinal;
+}
+
 }  // namespace
 
 std::unique_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
@@ -220,8 +231,12 @@
       state.read_error = http::error::bad_transfer_encoding;
       return false;
     }
-    constexpr int kFirstFinalStatus = 200;
-    if (state.parser->get().result_int() >= kFirstFinalStatus) {
+    const StatusKind kind = KindOf(state.parser->get().result_int());
+    if (kind == StatusKind::kInvalid) {
+      state.read_error = http::error::bad_status;
+      return false;
+    }
+    if (kind == StatusKind::kFinal) {
       return true;
     }
   }
@@ -261,6 +276,13 @@
       return BodyReadResult::kData;
     }
   }
+  // A pending write takes the error of a reset, so that the read finds the end
+  // of the connection. A peer that closes before it has the whole request has
+  // not ended its response properly either.
+  if (parser.need_eof() && !state.is_sent) {
+    state.read_error = http::error::partial_message;
+    return BodyReadResult::kError;
+  }
   state.complete = true;
   return BodyReadResult::kEnd;
 }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -132,14 +132,16 @@
   /// Returns whether another request was sent over the connection before.
   [[nodiscard]] bool IsReused() const;
   /// Reads the head of the final response; returns false if the peer closes the
-  /// connection, sends no valid response or too many interim ones.
+  /// connection, sends no valid response or too many interim ones. A status
+  /// below 100 or above 599, and 101, are not valid.
   [[nodiscard]] bool ReadHead();
   [[nodiscard]] const Head& GetHead() const;
   /// Returns whether only the end of the connection ends the response, so that
   /// an early end cannot be told from a proper one.
   [[nodiscard]] bool EndsWithConnection() const;
   /// Reads a part of the body; `data` stays valid until the next call. A body
-  /// whose framing exceeds a limit is an error.
+  /// whose framing exceeds a limit is an error, and so is the end of the
+  /// connection as the end of a body while the request is not sent completely.
   [[nodiscard]] BodyReadResult ReadBody(std::string_view& data);
   /// Returns the rest of the body, or nothing if it ends early or exceeds a
   /// limit of the pool. Its bytes count against the limit for all bodies until
