--- a/include/pimentospar/routing/prompt_split.h
+++ b/include/pimentospar/routing/prompt_split.h
@@ -18,6 +18,19 @@
 [[nodiscard]] std::set<TargetId> SelectShortPromptEngines(
     std::span<const TargetId> engines);
 
+/// An engine and how long it takes in relation to others.
+struct EngineSpeed {
+  TargetId id;
+  double time_factor = 1;
+};
+
+/// Returns the slowest third of the engines, as far as their speeds differ
+/// noticeably. Engines in `previous` stay until others are clearly slower, so
+/// that copies need not move.
+[[nodiscard]] std::set<TargetId> SelectShortPromptEngines(
+    std::span<const EngineSpeed> engines,
+    const std::set<TargetId>& previous);
+
 }  // namespace pimentospar
 
 #endif  // INCLUDE_PIMENTOSPAR_ROUTING_PROMPT_SPLIT_H_
--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -14,8 +14,10 @@
 #include "pimentospar/prefix_cache_estimate.h"
 #include "pimentospar/random.h"
 #include "pimentospar/routing/inventory.h"
+#include "pimentospar/routing/request_cost.h"
 #include "pimentospar/routing/stream_estimators.h"
 #include "pimentospar/routing/target_limits.h"
+#include "pimentospar/routing/target_speed.h"
 #include "pimentospar/target_health.h"
 #include "pimentospar/types.h"
 
@@ -103,6 +105,13 @@
                              .max_trial_interval = std::chrono::seconds(4),
                              .trial_timeout = std::chrono::seconds(3)};
   PrefixCacheEstimateOptions prefixes;
+  /// Engines are selected by learned speeds and by the pauses that a request
+  /// causes, instead of the constants above.
+  bool predicted_cost = false;
+  /// Cost of a stream that is expected to become late.
+  Duration late_stream_cost = std::chrono::milliseconds(300);
+  /// Weight of the time from the first event to the end of a response.
+  double decode_time_weight = 0.1;
 };
 
 /// What a request requires of its target.
@@ -122,6 +131,13 @@
   std::uint32_t expected_events = 0;
   /// Time left for all these events.
   Duration time_left{0};
+  std::uint32_t tokens_per_event = 1;
+  /// Longest pause between events that the caller accepts; 0 if any.
+  Duration max_pause{0};
+  /// Time in which the route's requests want their first event, and what is
+  /// left of it; 0 if any.
+  Duration first_event_goal{0};
+  Duration first_event_left{0};
   /// Limits of targets; may be null.
   const TargetLimits* limits = nullptr;
 };
@@ -141,6 +157,8 @@
   /// Requests per second that the target takes from all entries together. If
   /// there is a limit, the request needs a permit.
   std::optional<double> rate_limit;
+  /// Expected time to the end of the response; 0 if it is not predicted.
+  Duration expected_end{0};
 };
 /// Targets run the service, but none has loaded the copy.
 struct CopyNotLoaded {
@@ -223,11 +241,17 @@
   void OnPermitDenied(const TargetId& target, TimePoint until);
 
   [[nodiscard]] TargetSelection Select(const TargetQuery& query);
+  /// Returns whether engines are selected by their predicted cost.
+  [[nodiscard]] bool PredictsCost() const {
+    return this->options.predicted_cost;
+  }
 
   void OnSent(AttemptId attempt,
               const SelectedTarget& selected,
               const TargetQuery& query);
   void OnFirstByte(AttemptId attempt);
+  /// The target of an attempt sent its first event.
+  void OnFirstEvent(AttemptId attempt);
   /// An event of a response arrived `interval` after the previous one.
   void OnEvent(const TargetId& target, Duration interval);
   void OnLoadReport(const TargetId& target, const ReportedLoad& load);
@@ -257,6 +281,50 @@
   [[nodiscard]] std::size_t InFlight(const TargetId& target) const;
 
  private:
+  /// A run of this entry at an engine.
+  struct EngineRun {
+    AttemptId attempt;
+    double prompt_tokens = 0;
+    /// Prompt tokens that the engine had to prefill before.
+    double tokens_ahead = 0;
+    TimePoint sent_at;
+    bool has_first_event = false;
+  };
+  /// What is learned of an engine where costs are predicted.
+  struct EngineState {
+    TargetSpeed speed;
+    MomentarySlowdown slowdown;
+    /// In the order of sending.
+    std::vector<EngineRun> runs;
+    /// Longest pause that the caller of each run accepts.
+    std::vector<Duration> max_pauses;
+    double tokens_per_event = 1;
+    bool is_for_short_prompts = false;
+  };
+  /// Moving averages over the requests that a group of engines gets.
+  struct RequestMix {
+    double prompt_tokens = 1000;
+    double square_prompt_tokens = 4e6;
+    double duration_ms = 1000;
+  };
+  /// What is learned of the requests and the engines of a service.
+  struct ServiceState {
+    EngineTimes baseline;
+    RequestMix short_prompt_engines;
+    RequestMix other_engines;
+    /// Shortest limits of the requests.
+    Duration max_pause{0};
+    Duration first_event_goal{0};
+
+    [[nodiscard]] const RequestMix& MixAt(const EngineState& engine) const {
+      return engine.is_for_short_prompts ? this->short_prompt_engines
+                                         : this->other_engines;
+    }
+    [[nodiscard]] RequestMix& MixAt(const EngineState& engine) {
+      return engine.is_for_short_prompts ? this->short_prompt_engines
+                                         : this->other_engines;
+    }
+  };
   struct KnownTarget {
     KnownTarget(TargetDescription description,
                 const TargetSelectorOptions& options)
@@ -281,7 +349,9 @@
     std::optional<TimePoint> responded_at;
     /// Moving average of the ratio of actual to expected time to first byte.
     double latency_factor = 1;
+    TimePoint latency_measured_at;
     EventIntervalEstimator event_interval;
+    EngineState engine;
   };
   /// What a target has said of itself before its registration lapsed.
   struct LapsedNotice {
@@ -305,6 +375,22 @@
     Duration expected_ttfb{0};
     Duration cost{0};
     std::uint32_t new_tokens = 0;
+    /// Expected time to the end of the response, if it is predicted.
+    std::optional<Duration> end;
+  };
+  /// Prompt tokens that a target is expected to prefill.
+  struct UncachedTokens {
+    double all = 0;
+    /// Tokens of the shared prefix among them.
+    double of_prefix = 0;
+  };
+  /// A target that may be selected.
+  struct Candidate {
+    const KnownTarget* target = nullptr;
+    CostEstimate estimate;
+    double cost = 0;
+    bool trial = false;
+    std::optional<double> limit;
   };
 
   [[nodiscard]] bool IsUsable(const KnownTarget& target, TimePoint now) const;
@@ -318,6 +404,53 @@
                                           const TargetQuery& query,
                                           const PrefixHomes& homes,
                                           TimePoint now) const;
+  [[nodiscard]] UncachedTokens EstimateUncached(const KnownTarget& target,
+                                                const TargetQuery& query,
+                                                const PrefixHomes& homes,
+                                                TimePoint now) const;
+  /// Returns whether the target of this query is selected by predicted cost.
+  [[nodiscard]] bool PredictsCostOf(const TargetQuery& query) const {
+    return this->options.predicted_cost && !query.copy.model.IsEmpty();
+  }
+  [[nodiscard]] CostEstimate PredictEstimate(const KnownTarget& target,
+                                             const TargetQuery& query,
+                                             const PrefixHomes& homes,
+                                             TimePoint now) const;
+  [[nodiscard]] const ServiceState& StateOf(const ServiceId& service) const;
+  [[nodiscard]] EngineWork WorkAt(const KnownTarget& target,
+                                  TimePoint now) const;
+  /// Returns the prompt tokens of this entry's runs that the engine has yet to
+  /// prefill.
+  [[nodiscard]] static double PendingTokens(const EngineState& engine,
+                                            double ms_per_token,
+                                            TimePoint now);
+  /// Returns the factor by which recent responses began later than predicted.
+  [[nodiscard]] static double RecentLatencyFactor(const KnownTarget& target,
+                                                  TimePoint now);
+  [[nodiscard]] Duration ExpectedCompletion(const Candidate& candidate,
+                                            const TargetQuery& query,
+                                            TimePoint now) const;
+  [[nodiscard]] double CandidateCost(const Candidate& candidate);
+  [[nodiscard]] static SelectedTarget ToSelectedTarget(
+      const Candidate& candidate);
+  /// Selects one of the candidates; the older the reported loads, the more
+  /// evenly among those of similar cost.
+  [[nodiscard]] const Candidate& DrawCandidate(
+      std::span<const Candidate> candidates,
+      TimePoint now);
+  void OnEngineSent(KnownTarget& target,
+                    AttemptId attempt,
+                    const SelectedTarget& selected,
+                    const TargetQuery& query);
+  void OnEngineEvent(KnownTarget& target, Duration interval);
+  void OnEngineEnd(KnownTarget& target,
+                   AttemptId attempt,
+                   AttemptOutcome outcome);
+  void UpdateBaseline(const ServiceId& service);
+  [[nodiscard]] std::set<TargetId> FindShortPromptEngines(
+      const ServiceId& service,
+      const std::set<TargetId>& previous,
+      TimePoint now) const;
   [[nodiscard]] Duration NetworkCost(const TargetDescription& target) const;
   [[nodiscard]] static std::optional<double> FindLimit(
       const KnownTarget& target,
@@ -350,6 +483,7 @@
     std::set<TargetId> short_prompt_engines;
   };
   std::unordered_map<ServiceId, PromptSplit> prompt_splits;
+  std::unordered_map<ServiceId, ServiceState> service_states;
 };
 
 }  // namespace pimentospar
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,6 +53,7 @@
   TargetSelectorOptions options;
   options.region = settings.region;
   options.data_centre = settings.data_centre;
+  options.predicted_cost = settings.features.predicted_cost;
   return options;
 }
 
@@ -162,6 +163,7 @@
           this->targets_changed,
           this->retry_budget,
           this->stream_lengths,
+          this->output_lengths,
           this->copy_demand,
           this->crashes,
           this->rate_limits,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -168,6 +168,7 @@
   FiberSignal targets_changed;
   SharedRetryBudget retry_budget;
   StreamLengthEstimator stream_lengths;
+  OutputLengthEstimator output_lengths;
   CopyDemandTracker copy_demand;
   CrashTracker crashes;
   RegistrationFeed registration_feed;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -40,13 +40,14 @@
       table(deps.routes()),
       meta(deps.protocol.ParseRequest(request.message.base())),
       received_at(deps.clock.Now()),
-      forwarder(
-          deps.clock,
-          deps.timers,
-          request,
-          channel,
-          this->meta.last_event,
-          [this](Duration interval) { this->OnEventInterval(interval); }) {}
+      forwarder(deps.clock,
+                deps.timers,
+                request,
+                channel,
+                this->meta.last_event,
+                [this](std::optional<Duration> interval) {
+                  this->OnTargetEvent(interval);
+                }) {}
 
 Duration RequestHandler::RemainingTime() const {
   return this->deadline - this->deps.clock.Now();
@@ -131,8 +132,7 @@
     this->OnAttemptEnd(attempt, attempt_status);
     if (attempt_status == AttemptStatus::kDelivered) {
       if (this->forwarder.EventCount() > 0) {
-        this->deps.stream_lengths.OnStreamEnd(this->route->name,
-                                              this->forwarder.EventCount());
+        this->RecordOutputLength();
       }
       this->LogOutcome("answered", attempt.exchange->GetHead().result_int(),
                        Reason::kNone);
@@ -235,6 +235,10 @@
   }
   ++this->send_count;
   this->last_target = attempt.target.target;
+  this->current_attempt = attempt.id;
+  this->predicted_first_event = attempt.target.expected_end > Duration(0)
+                                    ? attempt.target.expected_ttfb
+                                    : Duration(0);
   this->current_exchange = attempt.exchange.get();
   const AttemptStatus attempt_status = this->SendAndReceive(attempt);
   this->current_exchange = nullptr;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -17,6 +17,7 @@
 #include "pimentospar/access/access_control.h"
 #include "pimentospar/quota/quota_limiter.h"
 #include "pimentospar/reason.h"
+#include "pimentospar/routing/output_length_estimator.h"
 #include "pimentospar/routing/route_table.h"
 #include "pimentospar/routing/shared_retry_budget.h"
 #include "pimentospar/routing/target_selector.h"
@@ -34,6 +35,7 @@
   FiberSignal& targets_changed;
   SharedRetryBudget& retry_budget;
   StreamLengthEstimator& stream_lengths;
+  OutputLengthEstimator& output_lengths;
   CopyDemandTracker& copy_demand;
   CrashTracker& crashes;
   RateLimitCoordinator& rate_limits;
@@ -111,7 +113,10 @@
   /// Cancels the current attempt if it would crash its target.
   void OnCausesChanged();
   void OnGraceTimeEnd();
-  void OnEventInterval(Duration interval);
+  /// The current target sent an event `interval` after its previous one, or its
+  /// first event.
+  void OnTargetEvent(std::optional<Duration> interval);
+  void OnFirstTargetEvent();
   /// Returns whether the target of the current attempt has sent an event.
   [[nodiscard]] bool HasTargetBegun() const;
   /// Returns whether the target of the current attempt has sent events for so
@@ -123,6 +128,15 @@
   /// Records whether the target has survived the request.
   void RecordSurvival(Attempt& attempt, AttemptStatus attempt_status);
   [[nodiscard]] TargetQuery BuildQuery() const;
+  /// Returns the number of events that the rest of the response is expected to
+  /// have.
+  [[nodiscard]] std::uint32_t ExpectedEvents(
+      std::uint32_t tokens_per_event) const;
+  /// Returns the tokens in one event of the service.
+  [[nodiscard]] std::uint32_t TokensPerEvent() const;
+  [[nodiscard]] OutputSource FindOutputSource() const;
+  /// Records the length of a complete stream.
+  void RecordOutputLength();
   void RecordCopyDemand(const TargetQuery& query);
   /// Returns the next target, after waiting for a missing copy if necessary;
   /// nothing if no target can be used in time.
@@ -230,6 +244,10 @@
   /// The target of the last attempt that was sent.
   TargetId last_target;
   TimePoint last_sent_at{};
+  AttemptId current_attempt;
+  /// Predicted time to the first event of the last attempt; 0 if it was not
+  /// predicted.
+  Duration predicted_first_event{0};
   std::uint32_t run_count = 0;
   UpstreamExchange* current_exchange = nullptr;
   /// Targets that refused an attempt of this request.
--- a/src/gateway/request_handler_crash.cc
+++ b/src/gateway/request_handler_crash.cc
@@ -52,8 +52,12 @@
   }
 }
 
-void RequestHandler::OnEventInterval(Duration interval) {
-  this->deps.targets.OnEvent(this->last_target, interval);
+void RequestHandler::OnTargetEvent(std::optional<Duration> interval) {
+  if (!interval) {
+    this->OnFirstTargetEvent();
+    return;
+  }
+  this->deps.targets.OnEvent(this->last_target, *interval);
   if (!this->survival_recorded && this->HasTargetSurvived()) {
     this->survival_recorded = true;
     this->deps.crashes.OnSurvived(this->fingerprints);
--- a/src/gateway/request_handler_outcome.cc
+++ b/src/gateway/request_handler_outcome.cc
@@ -234,6 +234,7 @@
            {"runs", this->run_count},
            {"ms", took},
            {"pause_ms", pause},
+           {"expected_ms", this->predicted_first_event},
            {"first_ms", first_event.value_or(std::chrono::milliseconds(-1))},
            {"config",
             this->table == nullptr ? 0 : this->table->Config().version.value}});
--- a/src/gateway/response_forwarder.cc
+++ b/src/gateway/response_forwarder.cc
@@ -22,13 +22,13 @@
     const CallerRequest& request,
     CallerChannel& channel,
     std::optional<std::uint64_t> last_event,
-    std::function<void(Duration)> on_event_interval)
+    std::function<void(std::optional<Duration>)> on_target_event)
     : clock(clock),
       timers(timers),
       request(request),
       channel(channel),
       events(last_event),
-      on_event_interval(std::move(on_event_interval)) {}
+      on_target_event(std::move(on_target_event)) {}
 
 std::string ResponseForwarder::BuildHead(
     const UpstreamExchange::Head& head) const {
@@ -146,9 +146,10 @@
   }
   this->last_event_at = now;
   if (this->last_target_event_at) {
-    this->on_event_interval(now - *this->last_target_event_at);
+    this->on_target_event(now - *this->last_target_event_at);
   } else {
     this->target_first_event_at = now;
+    this->on_target_event(std::nullopt);
   }
   this->last_target_event_at = now;
 }
--- a/src/gateway/response_forwarder.h
+++ b/src/gateway/response_forwarder.h
@@ -32,14 +32,15 @@
 class ResponseForwarder {
  public:
   /// `last_event` is the last event that the caller already has.
-  /// `on_event_interval` is called with the time between two events of one
-  /// target.
-  ResponseForwarder(const Clock& clock,
-                    TimerQueue& timers,
-                    const CallerRequest& request,
-                    CallerChannel& channel,
-                    std::optional<std::uint64_t> last_event,
-                    std::function<void(Duration)> on_event_interval);
+  /// `on_target_event` is called with the time since the previous event of the
+  /// same target, or with nothing for its first event.
+  ResponseForwarder(
+      const Clock& clock,
+      TimerQueue& timers,
+      const CallerRequest& request,
+      CallerChannel& channel,
+      std::optional<std::uint64_t> last_event,
+      std::function<void(std::optional<Duration>)> on_target_event);
 
   /// Forwards events as they arrive, up to the end of the stream. If the target
   /// sends no complete event for `idle_timeout`, the stream is given up as soon
@@ -103,7 +104,7 @@
   const CallerRequest& request;
   CallerChannel& channel;
   EventSequenceChecker events;
-  std::function<void(Duration)> on_event_interval;
+  std::function<void(std::optional<Duration>)> on_target_event;
   std::uint32_t event_count = 0;
   /// When the current target last sent events; empty before its first event.
   std::optional<TimePoint> last_target_event_at;
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -25,6 +25,25 @@
 constexpr double kShortestMs = 0.1;
 constexpr double kLongestMs = 419430.4;
 
+// Two bins per doubling from a sixteenth to 16 times the predicted time.
+constexpr unsigned kRatioBins = 16;
+constexpr double kMinRatio = 1.0 / 16;
+constexpr double kMaxRatio = 16;
+// Bounds the number of series; the other routes share one.
+constexpr std::size_t kMaxRoutes = 32;
+constexpr std::string_view kOtherRoutes = "other";
+
+std::string EscapeLabel(std::string_view value) {
+  std::string escaped;
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      escaped += '\\';
+    }
+    escaped += c == '\n' ? ' ' : c;
+  }
+  return escaped;
+}
+
 double Milliseconds(Duration time) {
   return std::chrono::duration<double, std::milli>(time).count();
 }
@@ -55,6 +74,56 @@
   this->first_token_times(Milliseconds(time));
 }
 
+void Metrics::RecordPrediction(const std::string& route, double ratio) {
+  const std::scoped_lock lock(this->predictions_mutex);
+  auto found = this->predictions.find(route);
+  if (found == this->predictions.end()) {
+    const bool is_full = this->predictions.size() >= kMaxRoutes;
+    found = this->predictions
+                .try_emplace(
+                    is_full ? std::string(kOtherRoutes) : route,
+                    std::make_tuple(LogAxis(kRatioBins, kMinRatio, kMaxRatio)))
+                .first;
+  }
+  found->second(ratio);
+}
+
+void Metrics::RenderPredictions(std::string& text) const {
+  constexpr std::string_view kName = "pimentospar_first_event_ratio";
+  const std::scoped_lock lock(this->predictions_mutex);
+  if (this->predictions.empty()) {
+    return;
+  }
+  text += fmt::format(
+      "# HELP {0} Observed by predicted time to first event\n"
+      "# TYPE {0} histogram\n",
+      kName);
+  for (const auto& [route, ratios] : this->predictions) {
+    const std::string label = EscapeLabel(route);
+    std::uint64_t total = 0;
+    double sum = 0;
+    for (auto&& bin :
+         boost::histogram::indexed(ratios, boost::histogram::coverage::all)) {
+      const std::uint64_t count = (*bin).value();
+      const bool is_last = bin.index() >= static_cast<int>(kRatioBins);
+      const bool is_first = bin.index() < 0;
+      total += count;
+      sum += static_cast<double>(count) * (is_last    ? kMaxRatio
+                                           : is_first ? kMinRatio
+                                                      : bin.bin().center());
+      text +=
+          fmt::format("{}_bucket{{route=\"{}\",le=\"{}\"}} {}\n", kName, label,
+                      is_last    ? "+Inf"
+                      : is_first ? fmt::format("{:.4f}", kMinRatio)
+                                 : fmt::format("{:.4f}", bin.bin().upper()),
+                      total);
+    }
+    text += fmt::format(
+        "{0}_sum{{route=\"{1}\"}} {2:.3f}\n{0}_count{{route=\"{1}\"}} {3}\n",
+        kName, label, sum, total);
+  }
+}
+
 void Metrics::RenderCounters(std::string& text,
                              std::string_view name,
                              std::string_view help,
@@ -111,6 +180,7 @@
               "Time from request to whole answer", this->request_times);
   RenderTimes(text, "pimentospar_first_token_milliseconds",
               "Time from request to first token", this->first_token_times);
+  this->RenderPredictions(text);
   return text;
 }
 
--- a/src/net/metrics.h
+++ b/src/net/metrics.h
@@ -4,6 +4,9 @@
 #include <array>
 #include <boost/histogram.hpp>
 #include <chrono>
+#include <functional>
+#include <map>
+#include <mutex>
 #include <string>
 #include <string_view>
 
@@ -54,6 +57,9 @@
   void Count(CountedEvent event, std::uint64_t amount);
   void RecordRequestTime(Duration time);
   void RecordFirstTokenTime(Duration time);
+  /// A request of this route got its first event after `ratio` times the
+  /// predicted time.
+  void RecordPrediction(const std::string& route, double ratio);
 
   /// Returns all metrics in the Prometheus text format.
   [[nodiscard]] std::string Render() const;
@@ -74,6 +80,7 @@
                              std::string_view name,
                              std::string_view help,
                              const Counters& counters);
+  void RenderPredictions(std::string& text) const;
   static void RenderTimes(std::string& text,
                           std::string_view name,
                           std::string_view help,
@@ -84,6 +91,8 @@
   Counters events;
   Times request_times;
   Times first_token_times;
+  mutable std::mutex predictions_mutex;
+  std::map<std::string, Times, std::less<>> predictions;
 };
 
 }  // namespace pimentospar
--- a/src/routing/target_selector.cc
+++ b/src/routing/target_selector.cc
@@ -57,6 +57,8 @@
     known.responded_at.reset();
     known.backoff_until = {};
     known.latency_factor = 1;
+    known.engine.speed = {};
+    known.engine.slowdown = {};
   }
   Inventory inventory = std::move(known.description.inventory);
   known.description = target;
@@ -188,6 +190,18 @@
       now - split.updated_at < kPromptSplitInterval) {
     return;
   }
+  if (this->options.predicted_cost) {
+    this->UpdateBaseline(service);
+    split = {now, this->FindShortPromptEngines(
+                      service, split.short_prompt_engines, now)};
+    for (auto& [id, target] : this->targets) {
+      if (target.description.service == service) {
+        target.engine.is_for_short_prompts =
+            split.short_prompt_engines.contains(id);
+      }
+    }
+    return;
+  }
   std::vector<TargetId> engines;
   for (const auto& [id, target] : this->targets) {
     if (target.description.service == service && this->IsUsable(target, now)) {
@@ -235,21 +249,11 @@
   return homes;
 }
 
-TargetSelector::CostEstimate TargetSelector::EstimateCost(
+TargetSelector::UncachedTokens TargetSelector::EstimateUncached(
     const KnownTarget& target,
     const TargetQuery& query,
     const PrefixHomes& homes,
     TimePoint now) const {
-  const double decay = this->LoadReportWeight(target, now);
-  const double running = target.in_flight + target.others_running * decay;
-  const Duration network_cost = this->NetworkCost(target.description);
-  if (query.copy.model.IsEmpty()) {
-    const double rounds =
-        (running + 1) / std::max<std::uint32_t>(target.description.slots, 1);
-    const Duration wait = Scale(this->options.plain_request_cost,
-                                0.5 * rounds + std::max(1.0, rounds));
-    return {wait, wait + network_cost, 0};
-  }
   const double prefix_tokens =
       query.prefix.empty() ? 0 : query.prefix.back().tokens;
   const auto home = homes.find(target.description.region);
@@ -260,23 +264,41 @@
       PrefixScope(query.copy), query.prefix, now);
   const double cached =
       std::min<double>(query.prompt_tokens, std::max(own_cached, home_cached));
-  const double uncached = query.prompt_tokens - cached;
-  const double missed_prefix = std::max(0.0, prefix_tokens - cached);
+  return {query.prompt_tokens - cached, std::max(0.0, prefix_tokens - cached)};
+}
+
+TargetSelector::CostEstimate TargetSelector::EstimateCost(
+    const KnownTarget& target,
+    const TargetQuery& query,
+    const PrefixHomes& homes,
+    TimePoint now) const {
+  const double decay = this->LoadReportWeight(target, now);
+  const double running = target.in_flight + target.others_running * decay;
+  const Duration network_cost = this->NetworkCost(target.description);
+  if (query.copy.model.IsEmpty()) {
+    const double rounds =
+        (running + 1) / std::max<std::uint32_t>(target.description.slots, 1);
+    const Duration wait = Scale(this->options.plain_request_cost,
+                                0.5 * rounds + std::max(1.0, rounds));
+    return {wait, wait + network_cost, 0, std::nullopt};
+  }
+  const UncachedTokens uncached =
+      this->EstimateUncached(target, query, homes, now);
   const auto prefill_time = [this](double tokens) {
     return Scale(std::chrono::milliseconds(1),
                  tokens / this->options.prompt_tokens_per_ms);
   };
   const Duration expected_ttfb =
-      prefill_time(uncached +
+      prefill_time(uncached.all +
                    static_cast<double>(target.pending_prompt_tokens)) +
       Scale(this->options.running_request_cost, running) +
       Scale(this->options.waiting_request_cost, target.others_waiting * decay);
   const Duration miss_cost =
-      prefill_time(missed_prefix * (this->options.prefix_miss_factor - 1));
+      prefill_time(uncached.of_prefix * (this->options.prefix_miss_factor - 1));
   return {expected_ttfb,
           expected_ttfb + miss_cost + network_cost +
               this->PromptSplitCost(target, query),
-          static_cast<std::uint32_t>(uncached)};
+          static_cast<std::uint32_t>(uncached.all), std::nullopt};
 }
 
 TargetSelection TargetSelector::ExplainNoCandidate(const TargetQuery& query,
@@ -350,72 +372,97 @@
     }
   }
   const PrefixHomes homes = this->FindPrefixHomes(candidates, query);
-  const KnownTarget* best = nullptr;
-  CostEstimate best_estimate;
-  double best_cost = std::numeric_limits<double>::infinity();
-  bool best_is_trial = false;
-  std::optional<double> best_limit;
+  const bool predicts = this->PredictsCostOf(query);
+  std::vector<Candidate> eligible;
   std::optional<AllTargetsOverloaded> overloaded;
   std::optional<AllTargetsLimited> limited;
   bool has_rate_limit = false;
   for (const KnownTarget* target : candidates) {
-    CostEstimate estimate = this->EstimateCost(*target, query, homes, now);
-    const std::optional<double> limit = FindLimit(*target, query);
+    Candidate candidate;
+    candidate.target = target;
+    candidate.estimate = predicts
+                             ? this->PredictEstimate(*target, query, homes, now)
+                             : this->EstimateCost(*target, query, homes, now);
+    candidate.limit = FindLimit(*target, query);
     const TimePoint available_at =
-        limit ? std::max(target->permit_denied_until, target->backoff_until)
-              : target->backoff_until;
+        candidate.limit
+            ? std::max(target->permit_denied_until, target->backoff_until)
+            : target->backoff_until;
     if (now < available_at) {
-      has_rate_limit = has_rate_limit || limit.has_value();
+      has_rate_limit = has_rate_limit || candidate.limit.has_value();
       const Duration wait = available_at - now;
       limited = {limited ? std::min(limited->retry_after, wait) : wait, {}};
       continue;
     }
-    estimate.cost += limit ? this->options.limited_target_cost : Duration(0);
-    const double weight = target->health.Weight();
-    const bool trial = query.repeatable && target->health.IsTrialDue(now);
-    const Duration completion =
-        Scale(estimate.expected_ttfb, target->latency_factor) +
-        query.expected_events * target->event_interval.MeanInterval(now);
+    candidate.estimate.cost +=
+        candidate.limit ? this->options.limited_target_cost : Duration(0);
+    const Duration completion = this->ExpectedCompletion(candidate, query, now);
     if (query.expected_events > 0 && completion > query.time_left) {
       overloaded = {overloaded
                         ? std::min(overloaded->shortest_completion, completion)
                         : completion};
       continue;
     }
-    const double cost =
-        trial ? 0
-              : static_cast<double>((estimate.cost + kBaseCost).count()) *
-                    target->latency_factor / (weight * weight) *
-                    (1 + kCostNoise * this->random.NextDouble());
-    if (cost < best_cost) {
-      best = target;
-      best_estimate = estimate;
-      best_cost = cost;
-      best_is_trial = trial;
-      best_limit = limit;
-    }
+    candidate.trial = query.repeatable && target->health.IsTrialDue(now);
+    candidate.cost = this->CandidateCost(candidate);
+    eligible.push_back(candidate);
   }
-  if (best == nullptr && overloaded) {
+  if (eligible.empty() && overloaded) {
     return *overloaded;
   }
-  if (best == nullptr && limited) {
+  if (eligible.empty() && limited) {
     // Copies are loaded elsewhere only for targets with a rate limit.
     if (has_rate_limit) {
       limited->other_targets = this->MissingWithoutLimit(query, now);
     }
     return *limited;
   }
-  if (best == nullptr) {
+  if (eligible.empty()) {
     return this->ExplainNoCandidate(query, now);
   }
-  return SelectedTarget{
-      best->description.id,
-      best->description.address,
-      best->description.inventory.started_ms,
-      Scale(best_estimate.expected_ttfb, best->latency_factor),
-      best_estimate.new_tokens,
-      best_is_trial,
-      best_limit};
+  return ToSelectedTarget(
+      predicts ? this->DrawCandidate(eligible, now)
+               : *std::ranges::min_element(eligible, {}, &Candidate::cost));
+}
+
+Duration TargetSelector::ExpectedCompletion(const Candidate& candidate,
+                                            const TargetQuery& query,
+                                            TimePoint now) const {
+  const KnownTarget& target = *candidate.target;
+  if (candidate.estimate.end) {
+    return *candidate.estimate.end;
+  }
+  return Scale(candidate.estimate.expected_ttfb, target.latency_factor) +
+         query.expected_events * target.event_interval.MeanInterval(now);
+}
+
+double TargetSelector::CandidateCost(const Candidate& candidate) {
+  if (candidate.trial) {
+    return 0;
+  }
+  const KnownTarget& target = *candidate.target;
+  const double weight = target.health.Weight();
+  const double cost =
+      static_cast<double>((candidate.estimate.cost + kBaseCost).count());
+  if (candidate.estimate.end) {
+    return cost / (weight * weight);
+  }
+  return cost * target.latency_factor / (weight * weight) *
+         (1 + kCostNoise * this->random.NextDouble());
+}
+
+SelectedTarget TargetSelector::ToSelectedTarget(const Candidate& candidate) {
+  const KnownTarget& target = *candidate.target;
+  const CostEstimate& estimate = candidate.estimate;
+  return {target.description.id,
+          target.description.address,
+          target.description.inventory.started_ms,
+          estimate.end ? estimate.expected_ttfb
+                       : Scale(estimate.expected_ttfb, target.latency_factor),
+          estimate.new_tokens,
+          candidate.trial,
+          candidate.limit,
+          estimate.end.value_or(Duration(0))};
 }
 
 void TargetSelector::OnPermitDenied(const TargetId& target, TimePoint until) {
--- a/src/routing/target_selector_attempts.cc
+++ b/src/routing/target_selector_attempts.cc
@@ -39,6 +39,9 @@
   this->in_flight_attempts[attempt] = {
       selected.target, now,  selected.expected_ttfb, selected.new_tokens,
       selected.trial,  false};
+  if (this->PredictsCostOf(query)) {
+    this->OnEngineSent(target, attempt, selected, query);
+  }
 }
 
 void TargetSelector::OnFirstByte(AttemptId attempt) {
@@ -67,6 +70,7 @@
       target.latency_factor *
           (1 + kLatencyFactorGain * (std::clamp(ratio, 0.25, 4.0) - 1)),
       1.0, kMaxLatencyFactor);
+  target.latency_measured_at = this->clock.Now();
 }
 
 void TargetSelector::OnEvent(const TargetId& target, Duration interval) {
@@ -74,6 +78,9 @@
   if (found != this->targets.end()) {
     found->second.event_interval.OnEvent(interval, this->clock.Now());
     found->second.responded_at = this->clock.Now();
+    if (this->options.predicted_cost) {
+      this->OnEngineEvent(found->second, interval);
+    }
   }
 }
 
@@ -90,6 +97,9 @@
   known.others_running = others;
   known.load_reported_at = this->clock.Now();
   known.responded_at = known.load_reported_at;
+  if (load.slowdown) {
+    known.engine.slowdown.OnReport(*load.slowdown, known.load_reported_at);
+  }
 }
 
 bool TargetSelector::IsResponsive(const TargetId& target) const {
@@ -111,6 +121,7 @@
   }
   KnownTarget& target = found->second;
   target.in_flight -= std::min<std::uint32_t>(target.in_flight, 1);
+  this->OnEngineEnd(target, attempt, outcome);
   if (!sent.has_first_byte) {
     target.pending_prompt_tokens -=
         std::min<std::uint64_t>(target.pending_prompt_tokens, sent.new_tokens);
--- a/test/gateway/request_handler_fixture.h
+++ b/test/gateway/request_handler_fixture.h
@@ -136,6 +136,7 @@
   SharedRetryBudget retry_budget{clock,
                                  {0.2, std::chrono::seconds(10), 50, 1.0}};
   StreamLengthEstimator stream_lengths;
+  OutputLengthEstimator output_lengths;
   CopyDemandTracker copy_demand;
   Metrics metrics;
   CrashTracker crashes{clock, pool, metrics, [] { return false; }};
@@ -157,6 +158,7 @@
                            targets_changed,
                            retry_budget,
                            stream_lengths,
+                           output_lengths,
                            copy_demand,
                            crashes,
                            rate_limits,
