--- a/include/pimentospar/routing/request_cost.h
+++ b/include/pimentospar/routing/request_cost.h
@@ -24,6 +24,8 @@
   /// square.
   double mean_prompt_tokens = 0;
   double mean_square_prompt_tokens = 0;
+  /// Mean prompt tokens at all engines of the service.
+  double service_prompt_tokens = 0;
   /// Longest pauses that the running streams of this entry accept; 0 if any.
   std::span<const Duration> max_pauses;
 };
@@ -40,8 +42,6 @@
   Duration first_event_left{0};
   /// Pause that the streams of other entries accept; 0 if any.
   Duration others_max_pause{0};
-  /// Time in which later requests want their first event; 0 if any.
-  Duration others_first_event_goal{0};
 };
 
 /// What a request is expected to bring at one engine.
@@ -50,8 +50,8 @@
   Duration end{0};
   /// Longest event interval that the prefill causes in running streams.
   Duration caused_pause{0};
-  /// Expected number of streams that become late: this one, and running and
-  /// later ones because of it.
+  /// Expected number of streams that become late: this one, and running ones
+  /// because of it.
   double late_streams = 0;
 };
 
--- a/include/pimentospar/routing/target_selector.h
+++ b/include/pimentospar/routing/target_selector.h
@@ -109,9 +109,10 @@
   /// causes, instead of the constants above.
   bool predicted_cost = false;
   /// Cost of a stream that is expected to become late.
-  Duration late_stream_cost = std::chrono::milliseconds(300);
-  /// Weight of the time from the first event to the end of a response.
-  double decode_time_weight = 0.1;
+  Duration late_stream_cost = std::chrono::milliseconds(600);
+  /// Cost of a long prompt at an engine for short prompts where costs are
+  /// predicted: such engines are slow, and pause for longer.
+  Duration long_prompt_at_slow_engine_cost = std::chrono::milliseconds(1000);
 };
 
 /// What a request requires of its target.
@@ -134,9 +135,7 @@
   std::uint32_t tokens_per_event = 1;
   /// Longest pause between events that the caller accepts; 0 if any.
   Duration max_pause{0};
-  /// Time in which the route's requests want their first event, and what is
-  /// left of it; 0 if any.
-  Duration first_event_goal{0};
+  /// Time left until the first event is late; 0 if it is never late.
   Duration first_event_left{0};
   /// Limits of targets; may be null.
   const TargetLimits* limits = nullptr;
@@ -309,12 +308,14 @@
   };
   /// What is learned of the requests and the engines of a service.
   struct ServiceState {
-    EngineTimes baseline;
+    ServiceSpeed speed;
+    double mean_prompt_tokens = 1000;
     RequestMix short_prompt_engines;
     RequestMix other_engines;
-    /// Shortest limits of the requests.
+    /// Share of the prompt tokens that are in long prompts.
+    double long_prompt_share = 0.5;
+    /// Shortest pause limit of the requests.
     Duration max_pause{0};
-    Duration first_event_goal{0};
 
     [[nodiscard]] const RequestMix& MixAt(const EngineState& engine) const {
       return engine.is_for_short_prompts ? this->short_prompt_engines
@@ -416,6 +417,8 @@
                                              const TargetQuery& query,
                                              const PrefixHomes& homes,
                                              TimePoint now) const;
+  [[nodiscard]] Duration PredictedSplitCost(const KnownTarget& target,
+                                            const TargetQuery& query) const;
   [[nodiscard]] const ServiceState& StateOf(const ServiceId& service) const;
   [[nodiscard]] EngineWork WorkAt(const KnownTarget& target,
                                   TimePoint now) const;
--- a/include/pimentospar/routing/target_speed.h
+++ b/include/pimentospar/routing/target_speed.h
@@ -33,35 +33,46 @@
   double samples = 0;
 };
 
-/// Learns the lasting speed of one target. Low quantiles are tracked, because
-/// work of which this entry does not know only adds to the measured times.
+/// The lasting speed of one target in relation to its service. Low quantiles
+/// are tracked, because work of which this entry does not know only adds to the
+/// measured times.
 class TargetSpeed {
  public:
-  /// A stream of the target took `ms` for a step, at its usual speed.
-  void OnStep(double ms, const EngineTimes& baseline);
-  /// The target took `ms` for each prompt token, at its usual speed.
-  void OnPrefill(double ms, const EngineTimes& baseline);
-  /// Returns the times of the target; a quantity with few samples is taken from
-  /// the baseline and the speed of the other one.
+  /// Returns the times of the target. Prefills are rarely measured, so without
+  /// many samples they are as fast as its steps.
   [[nodiscard]] EngineTimes Times(const EngineTimes& baseline) const;
   /// Returns how long the target takes in relation to the baseline.
   [[nodiscard]] double TimeFactor(const EngineTimes& baseline) const;
 
  private:
-  friend EngineTimes FindBaseline(std::span<const TargetSpeed* const>,
-                                  const EngineTimes&);
-
-  [[nodiscard]] double LogTimeFactor(const EngineTimes& baseline) const;
+  friend class ServiceSpeed;
 
   QuantileTracker step{0.25};
-  QuantileTracker prefill{0.3};
+  /// Prefill times in relation to those that follow from the steps.
+  QuantileTracker prefill_ratio{0.1};
 };
 
-/// Returns the median of the times of all targets that have been measured, or
-/// the times of `previous` where none has been.
-[[nodiscard]] EngineTimes FindBaseline(
-    std::span<const TargetSpeed* const> speeds,
-    const EngineTimes& previous);
+/// The speeds of the targets of a service, which learn from each other.
+class ServiceSpeed {
+ public:
+  /// A stream of the target took `ms` for a step, at its usual speed.
+  void OnStep(TargetSpeed& target, double ms) const;
+  /// The target sent its first event after `ms`, at its usual speed, and had to
+  /// prefill this number of prompt tokens. An event has `tokens_per_event`
+  /// output tokens.
+  void OnFirstEvent(TargetSpeed& target,
+                    double prompt_tokens,
+                    double tokens_per_event,
+                    double ms);
+  /// Sets the baseline for steps to the median of the targets.
+  void UpdateBaseline(std::span<const TargetSpeed* const> targets);
+  [[nodiscard]] const EngineTimes& Baseline() const { return this->baseline; }
+
+ private:
+  EngineTimes baseline;
+  /// Prefill times of all targets, corrected by the speeds of their steps.
+  QuantileTracker prefill{0.1};
+};
 
 /// Tracks the momentary slowdown that a target reports.
 class MomentarySlowdown {
--- a/src/gateway/request_handler_query.cc
+++ b/src/gateway/request_handler_query.cc
@@ -36,7 +36,6 @@
   }
   if (!this->forwarder.HasStarted() &&
       this->route->latency_goal > Duration(0)) {
-    query.first_event_goal = this->route->latency_goal;
     query.first_event_left =
         std::max(Duration(0), this->received_at + this->route->latency_goal -
                                   this->deps.clock.Now());
--- a/src/routing/request_cost.cc
+++ b/src/routing/request_cost.cc
@@ -12,11 +12,16 @@
 // Share of a step's time that each running request adds.
 constexpr double kRunningShare = 0.005;
 // An engine that gets more work than this is not expected to keep up.
-constexpr double kMaxPrefillShare = 0.9;
+constexpr double kMaxPrefillShare = 0.8;
 // Predicted times are off by about this share, so lateness sets in gradually.
 constexpr double kTimeUncertainty = 0.1;
-// Keeps the mean wait above 0 at engines without work.
-constexpr double kMinWaitMs = 0.1;
+// Mean wait behind prompts of which this entry does not know, for each running
+// request and as a share of the time of a prompt.
+constexpr double kWaitShare = 0.03;
+// Predicted pauses are not certain enough to outweigh all else.
+constexpr double kMaxCausedLate = 2;
+// Keeps the mean time of a prefill above 0 at engines without work.
+constexpr double kMinPrefillMs = 0.1;
 
 Duration Milliseconds(double ms) {
   return std::chrono::duration_cast<Duration>(
@@ -78,64 +83,25 @@
   return late;
 }
 
-// The prefill of prompts of which this entry does not know: a queue with random
-// arrivals, whose wait is about exponential where there is one.
-struct UnknownWork {
-  explicit UnknownWork(const EngineWork& engine)
-      : share(PrefillShare(engine)),
-        mean_ms(std::max(kMinWaitMs,
-                         engine.mean_square_prompt_tokens *
-                             engine.times.ms_per_prompt_token /
-                             (2 * std::max(1.0, engine.mean_prompt_tokens) *
-                              (1 - this->share)))) {}
-
-  // Returns the probability that the wait exceeds `ms`.
-  [[nodiscard]] double Exceeds(double ms) const {
-    return ms <= 0 ? 1 : this->share * std::exp(-ms / this->mean_ms);
-  }
-  // Returns the mean time by which the wait exceeds `ms`.
-  [[nodiscard]] double MeanExcess(double ms) const {
-    const double at_zero = this->share * this->mean_ms;
-    return ms <= 0 ? at_zero - ms : at_zero * std::exp(-ms / this->mean_ms);
-  }
-
-  // Share of the time in which there is a wait, and its mean then.
-  double share;
-  double mean_ms;
-};
-
-// Returns how many later requests begin too late because they arrive during
-// the prefill.
-double CausedLateStarts(const EngineWork& engine,
-                        const RequestWork& request,
-                        const UnknownWork& unknown) {
-  if (request.others_first_event_goal <= Duration(0)) {
-    return 0;
-  }
-  const double ms_per_token = engine.times.ms_per_prompt_token;
-  const double slack = ToMilliseconds(request.others_first_event_goal) -
-                       request.tokens_per_event * StepMs(engine) -
-                       engine.pending_tokens * ms_per_token;
-  return engine.arrival_rate *
-         (unknown.MeanExcess(slack - request.prompt_tokens * ms_per_token) -
-          unknown.MeanExcess(slack));
-}
-
 // Returns the probability that the stream pauses for too long because of later
-// prompts.
+// prompts, whose prefills in a row take an exponential time.
 double LatePauseProbability(const EngineWork& engine,
                             const RequestWork& request,
-                            const UnknownWork& unknown,
                             double decode_ms) {
   if (request.max_pause <= Duration(0)) {
     return 0;
   }
+  const double share = PrefillShare(engine);
+  const double mean_ms = std::max(
+      kMinPrefillMs,
+      engine.mean_square_prompt_tokens * engine.times.ms_per_prompt_token /
+          (2 * std::max(1.0, engine.mean_prompt_tokens) * (1 - share)));
   const double longest =
       EventMs(engine, request, request.tokens_per_event * kChunkTokens);
   const double slack = ToMilliseconds(request.max_pause) -
                        request.tokens_per_event * StepMs(engine);
-  const double pauses = engine.arrival_rate * (1 - unknown.share) * decode_ms *
-                        std::exp(-std::max(0.0, slack) / unknown.mean_ms);
+  const double pauses = engine.arrival_rate * (1 - share) * decode_ms *
+                        std::exp(-std::max(0.0, slack) / mean_ms);
   return LateProbability(longest, request.max_pause) * (1 - std::exp(-pauses));
 }
 
@@ -153,23 +119,21 @@
 
 PredictedCost PredictCost(const EngineWork& engine,
                           const RequestWork& request) {
-  const UnknownWork unknown(engine);
   const double tokens = engine.pending_tokens + request.prompt_tokens;
-  const double known = tokens * engine.times.ms_per_prompt_token +
-                       request.tokens_per_event * StepMs(engine);
-  const double first_event = known + unknown.MeanExcess(0);
+  const double unknown_tokens =
+      kWaitShare * engine.running * engine.service_prompt_tokens;
+  const double first_event =
+      (tokens + unknown_tokens) * engine.times.ms_per_prompt_token +
+      request.tokens_per_event * StepMs(engine);
   const double decode = std::max(0.0, request.events - 1) *
                         request.tokens_per_event *
-                        MeanStepMs(engine, unknown.share);
+                        MeanStepMs(engine, PrefillShare(engine));
   const double caused_pause = EventMs(engine, request, tokens);
-  double late = CausedLateStreams(engine, request, caused_pause) +
-                CausedLateStarts(engine, request, unknown);
-  if (request.first_event_left > Duration(0)) {
-    const double slack = ToMilliseconds(request.first_event_left) - known;
-    late += std::max(LateProbability(known, request.first_event_left),
-                     unknown.Exceeds(slack));
-  }
-  late += LatePauseProbability(engine, request, unknown, decode);
+  const double late =
+      std::min(kMaxCausedLate,
+               CausedLateStreams(engine, request, caused_pause)) +
+      LateProbability(first_event, request.first_event_left) +
+      LatePauseProbability(engine, request, decode);
   return {Milliseconds(first_event), Milliseconds(first_event + decode),
           Milliseconds(caused_pause), late};
 }
--- a/src/routing/target_selector_cost.cc
+++ b/src/routing/target_selector_cost.cc
@@ -11,17 +11,15 @@
 
 // Weight of one request in the moving averages.
 constexpr double kRequestGain = 0.05;
-// The measured time of a shorter prefill says little about the rate.
-constexpr double kMinMeasuredTokens = 1000;
 // A run that should have begun waits for prompts of which this entry does not
 // know; it counts at least as much as half a chunk.
 constexpr double kMinPendingTokens = 1024;
 constexpr double kMaxRecentFactor = 3;
-constexpr std::chrono::milliseconds kLatencyHalfLife{1000};
+constexpr std::chrono::milliseconds kLatencyHalfLife{4000};
 // Deviations of costs within which candidates count as similar: a base, and
 // this share of the work that arrived since the loads were reported.
 constexpr double kBaseDeviationMs = 4;
-constexpr double kUnseenWorkShare = 0.5;
+constexpr double kUnseenWorkShare = 0.2;
 constexpr std::chrono::milliseconds kMaxReportAge{1500};
 
 double Milliseconds(Duration time) {
@@ -77,11 +75,12 @@
   const double decay = this->LoadReportWeight(target, now);
   const double slowdown = target.engine.slowdown.Factor(now);
   EngineWork work;
-  work.times = target.engine.speed.Times(state.baseline);
+  work.times = target.engine.speed.Times(state.speed.Baseline());
   work.times.ms_per_prompt_token *= slowdown;
   work.times.ms_per_step *= slowdown;
   const RequestMix& mix = state.MixAt(target.engine);
   work.mean_prompt_tokens = mix.prompt_tokens;
+  work.service_prompt_tokens = state.mean_prompt_tokens;
   work.mean_square_prompt_tokens = mix.square_prompt_tokens;
   // The prompts that waited are prefilled since.
   const double prefilled = Milliseconds(now - target.load_reported_at) /
@@ -121,8 +120,6 @@
   request.max_pause = query.max_pause;
   request.first_event_left = query.first_event_left;
   request.others_max_pause = this->StateOf(query.service).max_pause;
-  request.others_first_event_goal =
-      this->StateOf(query.service).first_event_goal;
   const PredictedCost predicted = PredictCost(work, request);
   const Duration first_event =
       Scale(predicted.first_event, this->RecentLatencyFactor(target, now));
@@ -131,13 +128,29 @@
       uncached.of_prefix * (this->options.prefix_miss_factor - 1) *
       work.times.ms_per_prompt_token);
   const Duration cost =
-      first_event + Scale(decode, this->options.decode_time_weight) +
+      first_event +
       Scale(this->options.late_stream_cost, predicted.late_streams) +
-      miss_cost + network_cost + this->PromptSplitCost(target, query);
+      miss_cost + network_cost + this->PredictedSplitCost(target, query);
   return {first_event, cost, static_cast<std::uint32_t>(uncached.all),
           first_event + decode + network_cost};
 }
 
+// The costs of mixing prompts are times of prefills at the first guess of their
+// rate. Without long prompts, short ones need not be kept apart.
+Duration TargetSelector::PredictedSplitCost(const KnownTarget& target,
+                                            const TargetQuery& query) const {
+  const ServiceState& state = this->StateOf(query.service);
+  const double scale = state.speed.Baseline().ms_per_prompt_token /
+                       EngineTimes().ms_per_prompt_token;
+  const bool is_long = query.prompt_tokens >= kLongPromptTokens;
+  if (target.engine.is_for_short_prompts == !is_long) {
+    return Duration(0);
+  }
+  return is_long ? Scale(this->options.long_prompt_at_slow_engine_cost, scale)
+                 : Scale(this->options.short_prompt_cost,
+                         scale * state.long_prompt_share);
+}
+
 const TargetSelector::Candidate& TargetSelector::DrawCandidate(
     std::span<const Candidate> candidates,
     TimePoint now) {
@@ -183,15 +196,20 @@
   EngineState& engine = target.engine;
   const TimePoint now = this->clock.Now();
   const double ms_per_token =
-      engine.speed.Times(state.baseline).ms_per_prompt_token;
+      engine.speed.Times(state.speed.Baseline()).ms_per_prompt_token;
   engine.runs.push_back({attempt, static_cast<double>(selected.new_tokens),
                          PendingTokens(engine, ms_per_token, now), now});
   engine.max_pauses.push_back(query.max_pause);
   engine.tokens_per_event = query.tokens_per_event;
   UpdateShortest(state.max_pause, query.max_pause);
-  UpdateShortest(state.first_event_goal, query.first_event_goal);
   const double tokens = selected.new_tokens;
   RequestMix& mix = state.MixAt(engine);
+  // Weighted by the tokens, so that the share is one of work.
+  state.long_prompt_share +=
+      kRequestGain * std::min(1.0, tokens / state.mean_prompt_tokens) *
+      ((query.prompt_tokens >= kLongPromptTokens ? 1 : 0) -
+       state.long_prompt_share);
+  Follow(state.mean_prompt_tokens, tokens);
   Follow(mix.prompt_tokens, tokens);
   Follow(mix.square_prompt_tokens, tokens * tokens);
 }
@@ -213,19 +231,15 @@
   }
   run->has_first_event = true;
   const TimePoint now = this->clock.Now();
-  const double tokens = run->prompt_tokens + run->tokens_ahead;
-  if (tokens < kMinMeasuredTokens || !engine.slowdown.IsKnown(now)) {
+  if (!engine.slowdown.IsKnown(now)) {
     return;
   }
-  const EngineTimes& baseline =
-      this->StateOf(target.description.service).baseline;
   const Duration took =
       now - run->sent_at - this->NetworkCost(target.description);
-  const double decode_ms =
-      engine.speed.Times(baseline).ms_per_step * engine.tokens_per_event;
-  const double prefill_ms =
-      Milliseconds(took) / engine.slowdown.Factor(now) - decode_ms;
-  engine.speed.OnPrefill(std::max(prefill_ms, 1.0) / tokens, baseline);
+  this->service_states[target.description.service].speed.OnFirstEvent(
+      engine.speed, run->prompt_tokens + run->tokens_ahead,
+      engine.tokens_per_event,
+      Milliseconds(took) / engine.slowdown.Factor(now));
 }
 
 void TargetSelector::OnEngineEvent(KnownTarget& target, Duration interval) {
@@ -240,8 +254,7 @@
   const double step_ms = Milliseconds(interval) /
                          (engine.tokens_per_event *
                           engine.slowdown.Factor(now) * RunningFactor(running));
-  engine.speed.OnStep(step_ms,
-                      this->StateOf(target.description.service).baseline);
+  this->StateOf(target.description.service).speed.OnStep(engine.speed, step_ms);
 }
 
 void TargetSelector::OnEngineEnd(KnownTarget& target,
@@ -269,15 +282,14 @@
       speeds.push_back(&target.engine.speed);
     }
   }
-  EngineTimes& baseline = this->service_states[service].baseline;
-  baseline = FindBaseline(speeds, baseline);
+  this->service_states[service].speed.UpdateBaseline(speeds);
 }
 
 std::set<TargetId> TargetSelector::FindShortPromptEngines(
     const ServiceId& service,
     const std::set<TargetId>& previous,
     TimePoint now) const {
-  const EngineTimes& baseline = this->StateOf(service).baseline;
+  const EngineTimes& baseline = this->StateOf(service).speed.Baseline();
   std::vector<EngineSpeed> engines;
   for (const auto& [id, target] : this->targets) {
     if (target.description.service == service && this->IsUsable(target, now)) {
--- a/src/routing/target_speed.cc
+++ b/src/routing/target_speed.cc
@@ -14,10 +14,14 @@
 constexpr double kFirstGain = 0.8;
 constexpr double kMinGain = 0.03;
 constexpr double kGainSamples = 12;
-// A speed counts as much as what is assumed without it at this number of
-// samples; more samples than the maximum add nothing.
+// A measured speed counts as much as what is assumed without it at this number
+// of samples; more samples than the maximum add nothing.
 constexpr double kPriorSamples = 6;
+constexpr double kPriorRatioSamples = 60;
 constexpr double kMaxSamples = 60;
+// The time of a shorter prefill is hidden by the wait for other work.
+constexpr double kMinMeasuredTokens = 2000;
+constexpr double kMinPrefillMs = 1;
 // A target contributes to the baseline from this number of samples on.
 constexpr double kBaselineSamples = 10;
 
@@ -49,60 +53,56 @@
   this->samples += 1;
 }
 
-void TargetSpeed::OnStep(double ms, const EngineTimes& baseline) {
-  if (ms > 0) {
-    this->step.Add(ms, baseline.ms_per_step);
-  }
-}
-
-void TargetSpeed::OnPrefill(double ms, const EngineTimes& baseline) {
-  if (ms > 0) {
-    this->prefill.Add(ms, this->Times(baseline).ms_per_prompt_token);
-  }
+double TargetSpeed::TimeFactor(const EngineTimes& baseline) const {
+  const double samples = std::min(this->step.Samples(), kMaxSamples);
+  const double measured =
+      this->step.LogValue() - std::log(baseline.ms_per_step);
+  return std::exp(samples * measured / (samples + kPriorSamples));
 }
 
-double TargetSpeed::LogTimeFactor(const EngineTimes& baseline) const {
-  const double steps = std::min(this->step.Samples(), kMaxSamples);
-  const double prefills = std::min(this->prefill.Samples(), kMaxSamples);
-  const double step_factor =
-      this->step.LogValue() - std::log(baseline.ms_per_step);
-  const double prefill_factor =
-      this->prefill.LogValue() - std::log(baseline.ms_per_prompt_token);
-  return (steps * step_factor + prefills * prefill_factor) /
-         (steps + prefills + kPriorSamples);
+EngineTimes TargetSpeed::Times(const EngineTimes& baseline) const {
+  const double factor = this->TimeFactor(baseline);
+  const double samples = std::min(this->prefill_ratio.Samples(), kMaxSamples);
+  const double ratio = std::exp(samples * this->prefill_ratio.LogValue() /
+                                (samples + kPriorRatioSamples));
+  return {baseline.ms_per_prompt_token * factor * ratio,
+          baseline.ms_per_step * factor};
 }
 
-double TargetSpeed::TimeFactor(const EngineTimes& baseline) const {
-  return std::exp(this->LogTimeFactor(baseline));
+void ServiceSpeed::OnStep(TargetSpeed& target, double ms) const {
+  if (ms > 0) {
+    target.step.Add(ms, this->baseline.ms_per_step);
+  }
 }
 
-EngineTimes TargetSpeed::Times(const EngineTimes& baseline) const {
-  const double shared = this->LogTimeFactor(baseline);
-  const auto time_of = [shared](const QuantileTracker& tracker, double base) {
-    const double samples = std::min(tracker.Samples(), kMaxSamples);
-    const double own = tracker.LogValue() - std::log(base);
-    return base * std::exp((samples * own + kPriorSamples * shared) /
-                           (samples + kPriorSamples));
-  };
-  return {time_of(this->prefill, baseline.ms_per_prompt_token),
-          time_of(this->step, baseline.ms_per_step)};
+void ServiceSpeed::OnFirstEvent(TargetSpeed& target,
+                                double prompt_tokens,
+                                double tokens_per_event,
+                                double ms) {
+  if (prompt_tokens < kMinMeasuredTokens) {
+    return;
+  }
+  const double factor = target.TimeFactor(this->baseline);
+  const double decode_ms =
+      tokens_per_event * this->baseline.ms_per_step * factor;
+  const double ms_per_token =
+      std::max(ms - decode_ms, kMinPrefillMs) / prompt_tokens;
+  target.prefill_ratio.Add(
+      ms_per_token / (this->baseline.ms_per_prompt_token * factor), 1);
+  this->prefill.Add(ms_per_token / factor, this->baseline.ms_per_prompt_token);
+  this->baseline.ms_per_prompt_token = std::exp(this->prefill.LogValue());
 }
 
-EngineTimes FindBaseline(std::span<const TargetSpeed* const> speeds,
-                         const EngineTimes& previous) {
+void ServiceSpeed::UpdateBaseline(std::span<const TargetSpeed* const> targets) {
   std::vector<double> steps;
-  std::vector<double> prefills;
-  for (const TargetSpeed* speed : speeds) {
-    if (speed->step.Samples() >= kBaselineSamples) {
-      steps.push_back(speed->step.LogValue());
-    }
-    if (speed->prefill.Samples() >= kBaselineSamples) {
-      prefills.push_back(speed->prefill.LogValue());
+  for (const TargetSpeed* target : targets) {
+    if (target->step.Samples() >= kBaselineSamples) {
+      steps.push_back(target->step.LogValue());
     }
   }
-  return {prefills.empty() ? previous.ms_per_prompt_token
-                           : std::exp(Median(prefills)),
-          steps.empty() ? previous.ms_per_step : std::exp(Median(steps))};
+  if (!steps.empty()) {
+    this->baseline.ms_per_step = std::exp(Median(steps));
+  }
 }
 
 void MomentarySlowdown::OnReport(double slowdown, TimePoint now) {
