Merge the predicted cost of requests

Cause: the predicted cost and the homes of prefixes both change what a target is expected to have cached.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -54,6 +54,7 @@
   options.region = settings.region;
   options.data_centre = settings.data_centre;
   options.adaptive_homes = settings.features.predicted_cost;
+  options.predicted_cost = settings.features.predicted_cost;
   return options;
 }
 
@@ -184,6 +185,7 @@
           this->targets_changed,
           this->retry_budget,
           this->stream_lengths,
+          this->output_lengths,
           this->copy_demand,
           this->crashes,
           this->rate_limits,
--- a/src/net/metrics.h
+++ b/src/net/metrics.h
@@ -5,6 +5,9 @@
 #include <atomic>
 #include <boost/histogram.hpp>
 #include <chrono>
+#include <functional>
+#include <map>
+#include <mutex>
 #include <string>
 #include <string_view>
 
@@ -63,6 +66,9 @@
   /// Sets the number and the total size of the requests that wait in the queue
   /// of the entry.
   void SetWaiting(std::size_t requests, Bytes bytes);
+  /// A request of this route got its first event after `ratio` times the
+  /// predicted time.
+  void RecordPrediction(const std::string& route, double ratio);
 
   /// Returns all metrics in the Prometheus text format.
   [[nodiscard]] std::string Render() const;
@@ -83,6 +89,7 @@
                              std::string_view name,
                              std::string_view help,
                              const Counters& counters);
+  void RenderPredictions(std::string& text) const;
   static void RenderTimes(std::string& text,
                           std::string_view name,
                           std::string_view help,
@@ -96,6 +103,8 @@
   Times queue_times;
   std::atomic<std::size_t> waiting_requests = 0;
   std::atomic<Bytes> waiting_bytes = 0;
+  mutable std::mutex predictions_mutex;
+  std::map<std::string, Times, std::less<>> predictions;
 };
 
 }  // namespace pimentospar
