Let settings switch the routing features one by one, and grant one burst without a lease holder

Cause: one switch held the predicted cost, the homes of prefixes and the queue, so that their effects could not be told apart. Change: features.predicted_cost, features.adaptive_homes and features.entry_queue; entries without a holder have one burst together for workspaces within their quotas; a new holder starts those with half a bucket.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,7 +53,7 @@
   TargetSelectorOptions options;
   options.region = settings.region;
   options.data_centre = settings.data_centre;
-  options.adaptive_homes = settings.features.predicted_cost;
+  options.adaptive_homes = settings.features.adaptive_homes;
   options.predicted_cost = settings.features.predicted_cost;
   return options;
 }
@@ -153,7 +153,7 @@
                       random,
                       this->targets_changed,
                       this->metrics,
-                      settings.features.predicted_cost,
+                      settings.features.entry_queue,
                       EntryQueueOptions{}),
       order_dispatcher(loop,
                        clock,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,8 +32,13 @@
 
 /// Parts that a deployment asks for in its settings.
 struct GatewayFeatures {
-  /// Requests wait for and select targets by their predicted cost.
+  /// Requests select targets by their predicted cost.
   bool predicted_cost = false;
+  /// The number of homes of a shared prompt part follows its rate.
+  bool adaptive_homes = false;
+  /// Requests that find no target in time wait in one queue of the entry. There
+  /// is one also where the configuration has workspaces.
+  bool entry_queue = false;
 };
 
 /// Identity, addresses and time limits of one entry.
--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -36,6 +36,9 @@
 constexpr Duration kMinBurstTime = std::chrono::milliseconds(300);
 // Usage that is older than the window of a quota need not be repaid.
 constexpr Duration kMaxDebtTime = std::chrono::seconds(8);
+// Part of its capacity that a bucket has at first if the workspace was within
+// its quota. Entries may have used the rest since the last lease.
+constexpr double kFirstBalanceShare = 0.5;
 constexpr Duration kLearnTime = std::chrono::milliseconds(700);
 constexpr int kLearnReports = 3;
 // Longer than the time between two requests of a small workspace at an entry.
@@ -79,7 +82,7 @@
   for (auto& [id, account] : this->accounts) {
     account = Account{account.quota, {}, this->started_at, {}};
     if (std::ranges::find(within_quota, id) != within_quota.end()) {
-      account.status.balance = Capacity(account.quota);
+      account.status.balance = kFirstBalanceShare * Capacity(account.quota);
     }
   }
 }
--- a/src/quota/quota_limiter.cc
+++ b/src/quota/quota_limiter.cc
@@ -120,10 +120,14 @@
   if (!state.bucket) {
     const double sent = state.sent_per_second * Decay(now - state.sent_at);
     // All entries start their buckets at the same time. The random debt keeps
-    // them from passing on more first requests than the quota gives until
-    // another entry becomes the lease holder.
-    const double debt =
-        units * this->random.NextDouble() - share * Seconds(kTakeoverTime);
+    // them from passing on first requests together, beyond one burst of a
+    // workspace that was within its quota.
+    const double credit =
+        this->holder_message_at && state.fraction >= 1
+            ? quota.burst / static_cast<double>(
+                                std::max<std::size_t>(this->entry_count, 1))
+            : 0;
+    const double debt = units * this->random.NextDouble() - credit;
     state.bucket = LocalBucket{std::max(share, kUnsupervisedGrowth * sent),
                                -std::max(debt, 0.0), now};
   }
--- a/test/target_selector_cost_test.cc
+++ b/test/target_selector_cost_test.cc
@@ -93,7 +93,7 @@
 }
 
 struct Fixture {
-  explicit Fixture(std::vector<double> factors) {
+  explicit Fixture(const std::vector<double>& factors) {
     TargetSelectorOptions options;
     options.region = RegionId("r");
     options.data_centre = DataCentreId("d");
--- a/test/target_speed_test.cc
+++ b/test/target_speed_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE target_speed
 #include "pimentospar/routing/target_speed.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <cmath>
@@ -111,10 +112,8 @@
   std::set<TargetId> chosen;
   int changes = 0;
   for (int i = 0; i < 200; ++i) {
-    std::vector<double> factors;
-    for (int j = 0; j < 9; ++j) {
-      factors.push_back(std::exp(normal(engine)));
-    }
+    std::vector<double> factors(kTargets);
+    std::ranges::generate(factors, [&] { return std::exp(normal(engine)); });
     const std::set<TargetId> next =
         SelectShortPromptEngines(engines_of(factors), chosen);
     changes += i > 0 && next != chosen ? 1 : 0;
