--- a/src/quota/quota_limiter.cc
+++ b/src/quota/quota_limiter.cc
@@ -22,6 +22,9 @@
 // likely cut off from it, and the others use the whole quota.
 constexpr Duration kTakeoverTime = std::chrono::milliseconds(3200);
 constexpr double kCutOffShare = 0.25;
+// Part of a quota that may be used up within its window: an entry that has not
+// heard of a lease holder since its start does not know what was sent before.
+constexpr double kUnknownUsageShare = 0.5;
 // The limits of the last lease holder count for a new one for this time.
 constexpr Duration kLimitsMemoryTime = std::chrono::seconds(6);
 constexpr Duration kSentMeanTime = std::chrono::seconds(2);
@@ -114,8 +117,10 @@
                                const WorkspaceQuota& quota,
                                double units,
                                TimePoint now) {
+  const double used_elsewhere =
+      this->holder_message_at ? 0 : kUnknownUsageShare;
   const double share =
-      quota.per_second /
+      (1 - used_elsewhere) * quota.per_second /
       static_cast<double>(std::max<std::size_t>(this->entry_count, 1));
   if (!state.bucket) {
     const double sent = state.sent_per_second * Decay(now - state.sent_at);
