--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -38,7 +38,7 @@
 constexpr Duration kMaxDebtTime = std::chrono::seconds(8);
 // Part of its capacity that a bucket has at first if the workspace was within
 // its quota. Entries may have used the rest since the last lease.
-constexpr double kFirstBalanceShare = 0.5;
+constexpr double kFirstBalanceShare = 0.25;
 constexpr Duration kLearnTime = std::chrono::milliseconds(700);
 constexpr int kLearnReports = 3;
 // Longer than the time between two requests of a small workspace at an entry.
--- a/src/quota/quota_limiter.cc
+++ b/src/quota/quota_limiter.cc
@@ -18,6 +18,8 @@
 // Without the lease holder, an entry may pass on this many times as much per
 // second as before.
 constexpr double kUnsupervisedGrowth = 1.2;
+// Part of a burst that all entries together may use without a lease holder.
+constexpr double kUnsupervisedBurstShare = 0.5;
 // If no other entry becomes the lease holder within this time, this entry is
 // likely cut off from it, and the others use the whole quota.
 constexpr Duration kTakeoverTime = std::chrono::milliseconds(3200);
@@ -125,13 +127,13 @@
   if (!state.bucket) {
     const double sent = state.sent_per_second * Decay(now - state.sent_at);
     // All entries start their buckets at the same time. The random debt keeps
-    // them from passing on first requests together, beyond one burst of a
-    // workspace that was within its quota.
-    const double credit =
-        this->holder_message_at && state.fraction >= 1
-            ? quota.burst / static_cast<double>(
-                                std::max<std::size_t>(this->entry_count, 1))
-            : 0;
+    // them from passing on first requests together, beyond a part of the burst
+    // of a workspace that was within its quota.
+    const double credit = this->holder_message_at && state.fraction >= 1
+                              ? kUnsupervisedBurstShare * quota.burst /
+                                    static_cast<double>(std::max<std::size_t>(
+                                        this->entry_count, 1))
+                              : 0;
     const double debt = units * this->random.NextDouble() - credit;
     state.bucket = LocalBucket{std::max(share, kUnsupervisedGrowth * sent),
                                -std::max(debt, 0.0), now};
