Charge requests whose token counts overflow 32 bits

Cause: the two numbers of tokens were added as 32-bit integers, so a request that names 4294967295,1 counted as 0 units and passed its workspace's quota without being charged. Change: the sum is computed as a floating-point number; a test with these numbers. Result: the test fails before the change (not refused, 0 units asked) and passes after it; quota_exchange_test, request_handler_test and workspace_access_test pass.

--- a/src/gateway/request_handler_access.cc
+++ b/src/gateway/request_handler_access.cc
@@ -23,8 +23,8 @@
       granted.charged) {
     const auto tokens =
         this->meta.has_token_counts
-            ? std::optional<double>(static_cast<double>(
-                  this->meta.prompt_tokens + this->meta.max_tokens))
+            ? std::optional(static_cast<double>(this->meta.prompt_tokens) +
+                            this->meta.max_tokens)
             : std::nullopt;
     this->charged_units = RequestUnits(*granted.workspace->quota, tokens);
   }
--- a/test/gateway/quota_exchange_test.cc
+++ b/test/gateway/quota_exchange_test.cc
@@ -68,6 +68,17 @@
   BOOST_TEST(this->Counts().sent == 390);
 }
 
+// Guards against token counts whose sum overflows, so that a request is not
+// charged.
+BOOST_FIXTURE_TEST_CASE(ChargesHugeTokenCounts, QuotaFixture) {
+  this->SetFraction(0);
+  const std::string tokens =
+      std::string(kAuthorized) + "X-Pimentospar-Tokens: 4294967295,1\r\n";
+  const std::string refused = this->Send("POST /safe/x", tokens, "b");
+  BOOST_TEST(Contains(refused, "HTTP/1.1 429 "));
+  BOOST_TEST(this->Counts().asked == 4294967296.0);
+}
+
 // Guards against usage that is counted although no target has got the request,
 // and against usage that is counted again with each attempt.
 BOOST_FIXTURE_TEST_CASE(CountsARequestOnce, QuotaFixture) {
