--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -264,7 +264,7 @@
   long next_ms = NowMs() + kStableWindowMs + kReplacementIntervalMs;
   for (int i = 0; i < kReplacements; ++i) {
     leave_times_ms.push_back(next_ms);
-    next_ms += kReplacementIntervalMs + 370 * i % kReplacementSpreadMs;
+    next_ms += kReplacementIntervalMs + 370L * i % kReplacementSpreadMs;
   }
   for (int i = 1; i < kGateways; ++i) {
     std::vector<long> visits_ms = {NowMs() + kStableWindowMs};
