review: case 6, ends its gateways however it ends, runners with slots

Cause: when the case could not run, or was interrupted, the gateways that it had started went on. The runners took any number of requests at once and named a load that was not theirs.

Change: a gateway ends with the program that started it; the runners have 6 slots and a queue of 24, and name their load. 14 replacements.

No process was left after a SIGTERM to the case.

--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -18,6 +18,8 @@
 constexpr long kBeatMs = 1200;
 constexpr long kStableWindowMs = 4000;
 constexpr long kWorkMs = 60;
+constexpr int kSlots = 6;
+constexpr int kQueue = 24;
 constexpr int kGateways = 5;
 constexpr int kRunners = 3;
 // A runner serves for a little longer than `drain_ms`, not always for the same
@@ -30,7 +32,7 @@
 constexpr long kReplacementIntervalMs = 5300;
 constexpr long kReplacementSpreadMs = 900;
 constexpr long kNewRunnerLeadMs = 1000;
-constexpr int kReplacements = 15;
+constexpr int kReplacements = 14;
 constexpr long kBusyClients = 8;
 constexpr long kBusyPauseMs = 200;
 // The clients of each other gateway send some requests each in this interval,
@@ -121,12 +123,34 @@
                          .c_str()
                    : "");
     late_arrivals += is_late ? 1 : 0;
+    std::string load;
+    {
+      std::unique_lock lock(this->mutex);
+      if (this->waiting >= kQueue) {
+        return channel.Send(
+            "HTTP/1.1 503 Service Unavailable\r\nX-Pimentospar-Not-Run: 1\r\n"
+            "X-Pimentospar-Request-Id: " +
+            request_id + "\r\n" + this->LeavingHeader() +
+            "Content-Length: 0\r\n\r\n");
+      }
+      ++this->waiting;
+      this->slot_free.wait(lock, [this] { return this->running < kSlots; });
+      --this->waiting;
+      ++this->running;
+    }
     SleepMs(kWorkMs);
+    {
+      const std::lock_guard lock(this->mutex);
+      load = std::to_string(this->running) + "," +
+             std::to_string(this->waiting) + "," + std::to_string(kSlots);
+      --this->running;
+      this->slot_free.notify_one();
+    }
     const bool sent = channel.Send(
         "HTTP/1.1 200 OK\r\nX-Pimentospar-Request-Id: " + request_id +
         "\r\nX-Pimentospar-Response-Stamp: " + this->id + "." + request_id +
-        "\r\nX-Pimentospar-Runner-Load: 1,0,6\r\n" + this->LeavingHeader() +
-        "Content-Length: 2\r\n\r\nok");
+        "\r\nX-Pimentospar-Runner-Load: " + load + "\r\n" +
+        this->LeavingHeader() + "Content-Length: 2\r\n\r\nok");
     if (is_late && !sent) {
       ++late_and_cut;
       Record("runner %s exited while it worked on %s", this->id.c_str(),
@@ -143,6 +167,10 @@
   std::atomic<bool> leaving{false};
   std::atomic<long> acknowledged_at{0};
   std::atomic<bool> exited{false};
+  std::mutex mutex;
+  std::condition_variable slot_free;
+  int waiting = 0;
+  int running = 0;
   std::unique_ptr<Server> server;
   std::thread beats;
 };
@@ -206,6 +234,7 @@
 
 [[noreturn]] void Fail(const char* reason) {
   Record("the case cannot run: %s", reason);
+  KillAllGateways();
   RemoveTemporaryFolder();
   _Exit(2);
 }
--- a/review/standin-2/platform.cc
+++ b/review/standin-2/platform.cc
@@ -1,6 +1,7 @@
 #include "platform.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <csignal>
@@ -14,6 +15,15 @@
 
 namespace {
 
+std::mutex started_mutex;
+// The processes that run.
+std::set<pid_t> started;
+
+void Forget(pid_t process) {
+  const std::lock_guard lock(started_mutex);
+  started.erase(process);
+}
+
 std::string Query(const std::string& target, const std::string& name) {
   const std::size_t query = target.find('?');
   std::size_t at = query == std::string::npos ? std::string::npos : query + 1;
@@ -164,6 +174,15 @@
   return channel.Send(Answer("400 Bad Request", "application/json", "{}"));
 }
 
+void KillAllGateways() {
+  const std::lock_guard lock(started_mutex);
+  for (const pid_t process : started) {
+    kill(process, SIGKILL);
+    waitpid(process, nullptr, 0);
+  }
+  started.clear();
+}
+
 const std::string& TemporaryFolder() {
   static const std::string folder = [] {
     char name[] = "/tmp/pimentospar-review-XXXXXX";
@@ -212,6 +231,8 @@
 void Gateway::Start() {
   this->process = fork();
   if (this->process == 0) {
+    // Ends with the program that started it, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = open((this->folder + ".log").c_str(),
                          O_CREAT | O_WRONLY | O_APPEND, 0600);
     dup2(log, STDOUT_FILENO);
@@ -224,6 +245,10 @@
     execve(program, arguments, environment);
     _exit(127);
   }
+  {
+    const std::lock_guard lock(started_mutex);
+    started.insert(this->process);
+  }
   Record("gateway %s starts as process %d, callers at port %d",
          this->settings.name.c_str(), static_cast<int>(this->process),
          this->caller_port);
@@ -272,6 +297,7 @@
   if (this->process > 0) {
     kill(this->process, SIGKILL);
     waitpid(this->process, nullptr, 0);
+    Forget(this->process);
     this->process = 0;
   }
 }
@@ -279,6 +305,7 @@
 std::optional<int> Gateway::Ended() {
   int status = 0;
   if (this->process > 0 && waitpid(this->process, &status, WNOHANG) > 0) {
+    Forget(this->process);
     this->process = 0;
     return status;
   }
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -80,6 +80,9 @@
   pid_t process = 0;
 };
 
+/// Ends the processes of all gateways, also for a program that exits early.
+void KillAllGateways();
+
 /// The temporary folder of this run; removed at the end.
 const std::string& TemporaryFolder();
 void RemoveTemporaryFolder();
